--- /dev/null
+++ b/wasabicart-benchmark/src/main/java/org/wasabicart/benchmark/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Benchmarks of the hot path.
+ */
+package org.wasabicart.benchmark;
--- /dev/null
+++ b/wasabicart-command/src/main/java/org/wasabicart/command/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Operators' command line.
+ */
+package org.wasabicart.command;
--- /dev/null
+++ b/wasabicart-configuration/src/main/java/org/wasabicart/configuration/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Configuration library, its JSON format and its checks.
+ */
+package org.wasabicart.configuration;
--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Demonstration and experiments.
+ */
+package org.wasabicart.experiment;
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Node daemon beside each backend server.
+ */
+package org.wasabicart.node;
--- /dev/null
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-ins of the platform, the backend servers, the callers and the network.
+ */
+package org.wasabicart.standin;
--- /dev/null
+++ b/wasabicart-store/src/main/java/org/wasabicart/store/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Client of the key-value store's JSON gateway.
+ */
+package org.wasabicart.store;
--- /dev/null
+++ b/wasabicart-wire/src/main/java/org/wasabicart/wire/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages between nodes and their protobuf encoding.
+ */
+package org.wasabicart.wire;
