--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/admission/AdmissionStatus.java
@@ -0,0 +1,15 @@
+package org.wasabicart.core.admission;
+
+/**
+ * State of an admission controller for metrics and status.
+ *
+ * @param limit concurrency limit
+ * @param ceiling operations lead's ceiling
+ * @param running running calls
+ * @param queued queued calls
+ * @param queuedBytes bytes of the queued calls
+ * @param threshold lowest admitted priority
+ */
+public record AdmissionStatus(int limit, int ceiling, int running, int queued, long queuedBytes, int threshold) {
+
+}
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/adoption/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Adoption of configuration revisions, which never decrease.
+ */
+package org.wasabicart.core.adoption;
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/link/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * State machines of the links between nodes: streams, epochs and heartbeats.
+ */
+package org.wasabicart.core.link;
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/model/Member.java
@@ -0,0 +1,35 @@
+package org.wasabicart.core.model;
+
+import java.util.Objects;
+
+/**
+ * A node as its peers see it, with the backend server beside it.
+ *
+ * @param id node
+ * @param instance run of the node process
+ * @param service service of the backend server
+ * @param failureDomain failure domain of the VM
+ * @param region region of the failure domain
+ * @param address advertised address
+ * @param state announced state
+ * @param slots calls that the backend server can run at once, as announced
+ * @param revision configuration revision in force on the node
+ */
+public record Member(NodeId id, InstanceNumber instance, ServiceName service, FailureDomain failureDomain,
+		RegionName region, NodeAddress address, MemberState state, int slots, Revision revision) {
+
+	public Member {
+		Objects.requireNonNull(id, "id");
+		Objects.requireNonNull(instance, "instance");
+		Objects.requireNonNull(service, "service");
+		Objects.requireNonNull(failureDomain, "failureDomain");
+		Objects.requireNonNull(region, "region");
+		Objects.requireNonNull(address, "address");
+		Objects.requireNonNull(state, "state");
+		Objects.requireNonNull(revision, "revision");
+		if (slots < 0) {
+			throw new IllegalArgumentException("Slots are negative: " + slots);
+		}
+	}
+
+}
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/model/MemberState.java
@@ -0,0 +1,17 @@
+package org.wasabicart.core.model;
+
+/**
+ * State that a node announces for itself and its backend server.
+ */
+public enum MemberState {
+
+	/** The node has joined, and its backend server does not take calls yet. */
+	STARTING,
+
+	/** The backend server takes calls. */
+	SERVING,
+
+	/** The backend server finishes running calls and takes no new ones. */
+	DRAINING
+
+}
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/model/Outcome.java
@@ -0,0 +1,63 @@
+package org.wasabicart.core.model;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * Outcome of one call, without its body.
+ */
+public sealed interface Outcome {
+
+	/**
+	 * The call ran and its whole answer arrived.
+	 *
+	 * @param status HTTP status of the backend server's answer
+	 */
+	record Completed(int status) implements Outcome {
+
+	}
+
+	/**
+	 * The call never ran: no byte of it reached a backend server, or the backend server
+	 * signalled that it shed the call.
+	 *
+	 * @param reason reason
+	 * @param retryAfter time after which a retry makes sense
+	 */
+	record Refused(RefusalReason reason, Duration retryAfter) implements Outcome {
+
+		public Refused {
+			Objects.requireNonNull(reason, "reason");
+			Objects.requireNonNull(retryAfter, "retryAfter");
+		}
+
+	}
+
+	/**
+	 * The call ran or may have run, and it failed.
+	 *
+	 * @param reason reason
+	 * @param retriedBelow whether a deeper hop has already retried
+	 */
+	record Failed(FailureReason reason, boolean retriedBelow) implements Outcome {
+
+		public Failed {
+			Objects.requireNonNull(reason, "reason");
+		}
+
+	}
+
+	/**
+	 * Whether the call ran cannot be determined.
+	 *
+	 * @param reason reason
+	 */
+	record Unknown(FailureReason reason) implements Outcome {
+
+		public Unknown {
+			Objects.requireNonNull(reason, "reason");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/model/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Value types, policies and outcomes that all decisions share.
+ */
+package org.wasabicart.core.model;
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/routing/EarlyRefusal.java
@@ -0,0 +1,31 @@
+package org.wasabicart.core.routing;
+
+import java.util.Optional;
+
+import org.wasabicart.core.model.KindName;
+import org.wasabicart.core.model.Outcome;
+import org.wasabicart.core.model.RequestContext;
+import org.wasabicart.core.model.ServiceName;
+
+/**
+ * Refuses calls at the entry node that a deeper service would refuse, from the thresholds
+ * that answers carry. Implementations are safe for use by several threads.
+ */
+public interface EarlyRefusal {
+
+	/**
+	 * Checks a call against the known thresholds of the services that its kind touches.
+	 * @param context context of the call
+	 * @return a refusal, or empty if the call may go on
+	 */
+	Optional<Outcome.Refused> check(RequestContext context);
+
+	/**
+	 * Learns from an answer that a kind touches a service, and the service's threshold.
+	 * @param kind kind of the answered call
+	 * @param service service on the call's path
+	 * @param threshold lowest priority that the service admits
+	 */
+	void learn(KindName kind, ServiceName service, int threshold);
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/peer/CallHandler.java
@@ -0,0 +1,18 @@
+package org.wasabicart.node.peer;
+
+/**
+ * Serves calls that arrive from peers.
+ */
+@FunctionalInterface
+public interface CallHandler {
+
+	/**
+	 * Serves one call.
+	 * @param request call with its whole body
+	 * @param listener to be invoked exactly once with the response
+	 * @return handle that the transport uses to cancel the call when the peer cancels it
+	 * or its link ends
+	 */
+	PeerCall handle(CallRequest request, PeerCallListener listener);
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Contract of calls between nodes, independent of the transport.
+ */
+package org.wasabicart.node.peer;
