--- /dev/null
+++ b/wasabicart-store/src/main/java/org/wasabicart/store/StoreWatch.java
@@ -0,0 +1,14 @@
+package org.wasabicart.store;
+
+/**
+ * One open watch.
+ */
+@FunctionalInterface
+public interface StoreWatch {
+
+	/**
+	 * Ends the watch. The listener is not invoked afterwards.
+	 */
+	void cancel();
+
+}
