--- /dev/null
+++ b/wasabicart-configuration/src/main/java/org/wasabicart/configuration/ServiceBuilder.java
@@ -0,0 +1,119 @@
+package org.wasabicart.configuration;
+
+import java.time.Duration;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+import org.wasabicart.core.model.ServiceName;
+import org.wasabicart.core.model.ServicePolicy;
+
+/**
+ * Builds the policy of one service. Ceiling and connections follow the slots unless said
+ * otherwise.
+ */
+public final class ServiceBuilder {
+
+	private final ServiceName name;
+
+	private final Set<ServiceName> calls = new LinkedHashSet<>();
+
+	private int slots = 1;
+
+	private int ceiling;
+
+	private int connections;
+
+	private double retryBudgetRatio = 0.1;
+
+	private Duration queueTime = Duration.ofMillis(50);
+
+	private long queueBytes = 4 * 1024 * 1024;
+
+	private Duration attemptDeadline = Duration.ofSeconds(1);
+
+	ServiceBuilder(String name) {
+		this.name = new ServiceName(name);
+	}
+
+	/**
+	 * Sets the calls that one backend server can run at once.
+	 * @param slots one or more
+	 * @return this builder
+	 */
+	public ServiceBuilder slots(int slots) {
+		this.slots = slots;
+		return this;
+	}
+
+	/**
+	 * Sets the highest number of calls at once for each backend server.
+	 * @param ceiling one or more
+	 * @return this builder
+	 */
+	public ServiceBuilder ceiling(int ceiling) {
+		this.ceiling = ceiling;
+		return this;
+	}
+
+	/**
+	 * Sets the connections that one backend server accepts.
+	 * @param connections one or more
+	 * @return this builder
+	 */
+	public ServiceBuilder connections(int connections) {
+		this.connections = connections;
+		return this;
+	}
+
+	/**
+	 * Sets the retries that a node may send, as a fraction of its successes.
+	 * @param ratio 0 to 1
+	 * @return this builder
+	 */
+	public ServiceBuilder retryBudgetRatio(double ratio) {
+		this.retryBudgetRatio = ratio;
+		return this;
+	}
+
+	/**
+	 * Sets the bounds of the admission queue.
+	 * @param time longest time in the queue
+	 * @param bytes most bytes in the queue
+	 * @return this builder
+	 */
+	public ServiceBuilder queue(Duration time, long bytes) {
+		this.queueTime = time;
+		this.queueBytes = bytes;
+		return this;
+	}
+
+	/**
+	 * Sets the longest time of one attempt.
+	 * @param deadline longest time
+	 * @return this builder
+	 */
+	public ServiceBuilder attemptDeadline(Duration deadline) {
+		this.attemptDeadline = deadline;
+		return this;
+	}
+
+	/**
+	 * Adds services that this service calls.
+	 * @param services services
+	 * @return this builder
+	 */
+	public ServiceBuilder calls(String... services) {
+		for (String service : services) {
+			this.calls.add(new ServiceName(service));
+		}
+		return this;
+	}
+
+	ServicePolicy build() {
+		int connectionCount = (this.connections > 0) ? this.connections : this.slots;
+		int ceilingCount = (this.ceiling > 0) ? this.ceiling : this.slots;
+		return new ServicePolicy(this.name, ceilingCount, this.slots, connectionCount, this.retryBudgetRatio,
+				this.queueTime, this.queueBytes, this.attemptDeadline, this.calls);
+	}
+
+}
--- a/wasabicart-configuration/src/main/java/org/wasabicart/configuration/package-info.java
+++ b/wasabicart-configuration/src/main/java/org/wasabicart/configuration/package-info.java
@@ -1,4 +1,7 @@
 /**
- * Configuration library, its JSON format and its checks.
+ * Configuration library. An operator's program builds a section with
+ * {@link org.wasabicart.configuration.ConfigurationBuilder} and prints it;
+ * {@link org.wasabicart.configuration.ConfigurationFormat} reads and checks the printed
+ * JSON.
  */
 package org.wasabicart.configuration;
