--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/membership/GossipQueue.java
@@ -0,0 +1,102 @@
+package org.wasabicart.core.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.wasabicart.core.model.MemberState;
+import org.wasabicart.core.model.NodeId;
+
+/**
+ * Updates to be passed on, each a limited number of times. An update replaces an earlier
+ * one about the same member.
+ */
+final class GossipQueue {
+
+	private static final Comparator<Item> ORDER = Comparator.<Item>comparingInt((item) -> item.priority)
+		.thenComparing(Comparator.<Item>comparingInt((item) -> item.remaining).reversed());
+
+	private final Map<NodeId, Item> items = new HashMap<>();
+
+	void add(MemberUpdate update, int transmissions, long now) {
+		this.items.put(update.id(), new Item(update, transmissions, now));
+	}
+
+	boolean isEmpty() {
+		return this.items.isEmpty();
+	}
+
+	int size() {
+		return this.items.size();
+	}
+
+	/**
+	 * Takes updates up to a size, and counts each as sent to some receivers.
+	 * @param bytes space for the updates
+	 * @param receivers number of receivers of the message
+	 * @param now current time
+	 * @return updates
+	 */
+	List<MemberUpdate> take(int bytes, int receivers, long now) {
+		if (this.items.isEmpty()) {
+			return List.of();
+		}
+		List<Item> candidates = new ArrayList<>(this.items.values());
+		if (candidates.size() > 1) {
+			candidates.sort(ORDER);
+		}
+		List<MemberUpdate> taken = new ArrayList<>();
+		int space = bytes;
+		for (Item item : candidates) {
+			int size = UpdateSize.of(item.update);
+			if (size > space) {
+				break;
+			}
+			space -= size;
+			taken.add(item.aged(now));
+			item.remaining -= receivers;
+			if (item.remaining <= 0) {
+				this.items.remove(item.update.id());
+			}
+		}
+		return taken;
+	}
+
+	private static final class Item {
+
+		private final MemberUpdate update;
+
+		private final long since;
+
+		private final int priority;
+
+		private int remaining;
+
+		private Item(MemberUpdate update, int remaining, long since) {
+			this.update = update;
+			this.remaining = remaining;
+			this.since = since;
+			this.priority = priority(update);
+		}
+
+		// Draining goes first, so that no new work reaches a departing backend server.
+		private static int priority(MemberUpdate update) {
+			if (update instanceof MemberUpdate.Announced announced) {
+				return (announced.member().state() == MemberState.DRAINING) ? 0 : 2;
+			}
+			return 1;
+		}
+
+		private MemberUpdate aged(long now) {
+			if (this.update instanceof MemberUpdate.Suspected suspected) {
+				int age = suspected.ageMilliseconds() + (int) ((now - this.since) / 1_000_000);
+				return new MemberUpdate.Suspected(suspected.id(), suspected.instance(), suspected.incarnation(), age);
+			}
+			return this.update;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/membership/MemberUpdate.java
@@ -0,0 +1,94 @@
+package org.wasabicart.core.membership;
+
+import java.util.Objects;
+
+import org.wasabicart.core.model.InstanceNumber;
+import org.wasabicart.core.model.Member;
+import org.wasabicart.core.model.NodeId;
+
+/**
+ * One change of the view, as it is disseminated.
+ */
+public sealed interface MemberUpdate {
+
+	/**
+	 * Returns the member that the update is about.
+	 * @return node
+	 */
+	NodeId id();
+
+	/**
+	 * Returns the run of the node process that the update is about.
+	 * @return instance
+	 */
+	InstanceNumber instance();
+
+	/**
+	 * Returns the incarnation that the update is about.
+	 * @return incarnation
+	 */
+	long incarnation();
+
+	/**
+	 * A member announced itself. The only update that carries a full record.
+	 *
+	 * @param member record
+	 * @param incarnation incarnation of the record
+	 */
+	record Announced(Member member, long incarnation) implements MemberUpdate {
+
+		public Announced {
+			Objects.requireNonNull(member, "member");
+		}
+
+		@Override
+		public NodeId id() {
+			return this.member.id();
+		}
+
+		@Override
+		public InstanceNumber instance() {
+			return this.member.instance();
+		}
+
+	}
+
+	/**
+	 * A member did not answer probes, and is removed unless it refutes in time.
+	 *
+	 * @param id suspected node
+	 * @param instance suspected run
+	 * @param incarnation suspected incarnation
+	 * @param ageMilliseconds time since the suspicion was raised, so that all nodes
+	 * remove the member at about the same time
+	 */
+	record Suspected(NodeId id, InstanceNumber instance, long incarnation,
+			int ageMilliseconds) implements MemberUpdate {
+
+		public Suspected {
+			Objects.requireNonNull(id, "id");
+			Objects.requireNonNull(instance, "instance");
+			if (ageMilliseconds < 0) {
+				throw new IllegalArgumentException("Age is negative: " + ageMilliseconds);
+			}
+		}
+
+	}
+
+	/**
+	 * A member left or was removed.
+	 *
+	 * @param id removed node
+	 * @param instance removed run
+	 * @param incarnation removed incarnation
+	 */
+	record Removed(NodeId id, InstanceNumber instance, long incarnation) implements MemberUpdate {
+
+		public Removed {
+			Objects.requireNonNull(id, "id");
+			Objects.requireNonNull(instance, "instance");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/membership/Prober.java
@@ -0,0 +1,235 @@
+package org.wasabicart.core.membership;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import org.wasabicart.core.model.NodeId;
+
+/**
+ * Probes peers, directly and then through others, raises suspicions, and removes members
+ * whose suspicion was not refuted.
+ */
+final class Prober {
+
+	private static final int HELPERS = 3;
+
+	private final MembershipSettings settings;
+
+	private final MemberTable table;
+
+	private final PeerDirectory directory;
+
+	private final MessageComposer composer;
+
+	private final LocalHealth health;
+
+	private final RandomGenerator random;
+
+	private final ProbeTracker probes = new ProbeTracker();
+
+	private int ringPosition;
+
+	private boolean started;
+
+	private long nextProbe;
+
+	private long nextFailureDomainProbe;
+
+	private long nextRegionProbe;
+
+	Prober(MembershipSettings settings, MemberTable table, PeerDirectory directory, MessageComposer composer,
+			LocalHealth health, RandomGenerator random) {
+		this.settings = settings;
+		this.table = table;
+		this.directory = directory;
+		this.composer = composer;
+		this.health = health;
+		this.random = random;
+	}
+
+	// Probes that were open during a pause say nothing about their targets.
+	void resume(long pause) {
+		this.probes.clear();
+		for (MemberEntry entry : this.table.entries()) {
+			if (entry.suspected) {
+				entry.suspectedSince += pause;
+			}
+		}
+	}
+
+	void tick(long now, List<OutgoingMessage> out, Consumer<MemberUpdate> spread) {
+		if (!this.started) {
+			schedule(now);
+		}
+		this.probes.expireRelayed(now);
+		for (ProbeTracker.Probe probe : this.probes.due(now)) {
+			overdue(probe, now, out, spread);
+		}
+		removeSuspected(now, spread);
+		startProbes(now, out);
+	}
+
+	// Random phases keep nodes that start together from probing at the same moments.
+	private void schedule(long now) {
+		this.started = true;
+		this.nextProbe = now + this.random.nextLong(this.settings.probeInterval().toNanos());
+		this.nextFailureDomainProbe = now + this.random.nextLong(this.settings.failureDomainProbeInterval().toNanos());
+		this.nextRegionProbe = now + this.random.nextLong(this.settings.regionProbeInterval().toNanos());
+	}
+
+	private void startProbes(long now, List<OutgoingMessage> out) {
+		if (now - this.nextProbe >= 0) {
+			this.nextProbe = next(this.nextProbe, this.settings.probeInterval().toNanos(), now);
+			probe(nextOnRing(), now, out);
+		}
+		if (now - this.nextFailureDomainProbe >= 0) {
+			this.nextFailureDomainProbe = next(this.nextFailureDomainProbe,
+					this.settings.failureDomainProbeInterval().toNanos(), now);
+			probe(this.directory.randomOfOtherFailureDomain(this.random), now, out);
+		}
+		if (now - this.nextRegionProbe >= 0) {
+			this.nextRegionProbe = next(this.nextRegionProbe, this.settings.regionProbeInterval().toNanos(), now);
+			probe(this.directory.randomOfOtherRegion(this.random), now, out);
+		}
+	}
+
+	private static long next(long previous, long interval, long now) {
+		long next = previous + interval;
+		return (now - next >= 0) ? now + interval : next;
+	}
+
+	private MemberEntry nextOnRing() {
+		List<MemberEntry> targets = this.directory.ringTargets();
+		if (targets.isEmpty()) {
+			return null;
+		}
+		this.ringPosition = (this.ringPosition + 1) % targets.size();
+		return targets.get(this.ringPosition);
+	}
+
+	private void probe(MemberEntry target, long now, List<OutgoingMessage> out) {
+		if (target == null || this.probes.isProbing(target.id())) {
+			return;
+		}
+		ProbeTracker.Probe probe = this.probes.start(target, now,
+				this.settings.directTimeout().toNanos() * this.health.timeoutFactor());
+		List<MemberUpdate> first = target.suspected ? List.of(target.suspicion(now)) : List.of();
+		out.add(this.composer.ping(probe.address, Optional.of(probe.target), probe.sequence, first, now));
+	}
+
+	private void overdue(ProbeTracker.Probe probe, long now, List<OutgoingMessage> out, Consumer<MemberUpdate> spread) {
+		MemberEntry entry = this.table.find(probe.target);
+		if (entry == null || !entry.instance().equals(probe.instance)) {
+			this.probes.forget(probe);
+			return;
+		}
+		if (!probe.indirect) {
+			probe.indirect = true;
+			probe.deadline = now + this.settings.indirectTimeout().toNanos() * this.health.timeoutFactor();
+			requestHelp(probe, out);
+			return;
+		}
+		this.probes.forget(probe);
+		this.health.probeFailed(probe.start);
+		if (!entry.suspected && !this.health.isCutOff(now)) {
+			MemberUpdate.Suspected suspicion = new MemberUpdate.Suspected(entry.id(), entry.instance(),
+					entry.incarnation, 0);
+			spread.accept(suspicion);
+			entry.suspectedHere = true;
+			// The suspect hears of it from the node that raised it, and refutes at once.
+			out.add(this.composer.gossipTo(probe.address, List.of(suspicion)));
+		}
+	}
+
+	private void requestHelp(ProbeTracker.Probe probe, List<OutgoingMessage> out) {
+		Set<NodeId> helpers = new HashSet<>();
+		for (int attempt = 0; attempt < 2 * HELPERS && helpers.size() < HELPERS; attempt++) {
+			MemberEntry helper = this.directory.randomReceiver(this.random);
+			if (helper != null && !helper.suspected && !helper.id().equals(probe.target) && helpers.add(helper.id())) {
+				out.add(this.composer.pingRequest(helper.member.address(), probe.target, probe.address,
+						probe.sequence));
+			}
+		}
+	}
+
+	private void removeSuspected(long now, Consumer<MemberUpdate> spread) {
+		if (this.health.isCutOff(now)) {
+			return;
+		}
+		List<MemberEntry> expired = new ArrayList<>();
+		for (MemberEntry entry : this.table.entries()) {
+			if (entry.suspected && now - entry.suspectedSince >= this.settings.suspicionTimeout().toNanos()) {
+				expired.add(entry);
+			}
+		}
+		for (MemberEntry entry : expired) {
+			if (entry.suspectedHere) {
+				spread.accept(entry.removal());
+			}
+			else {
+				this.table.apply(entry.removal(), now);
+			}
+		}
+	}
+
+	void received(PeerMessage message, long now, List<OutgoingMessage> out) {
+		switch (message.type()) {
+			case PING -> pinged(message, now, out);
+			case PING_REQUEST -> helpRequested(message, now, out);
+			case ACKNOWLEDGEMENT -> acknowledged(message, now, out);
+			default -> {
+			}
+		}
+	}
+
+	private void pinged(PeerMessage message, long now, List<OutgoingMessage> out) {
+		if (message.target().isPresent() && !message.target().get().equals(this.composer.localId())) {
+			return;
+		}
+		out.add(this.composer.acknowledgement(message.sender().address(), message.sequence(), doubts(message, now),
+				now));
+	}
+
+	private void helpRequested(PeerMessage message, long now, List<OutgoingMessage> out) {
+		if (message.target().isEmpty() || message.targetAddress().isEmpty()) {
+			return;
+		}
+		long expiry = now + this.settings.indirectTimeout().toNanos() * 2;
+		long sequence = this.probes.startRelayed(message.sender().address(), message.sequence(), expiry);
+		out.add(this.composer.ping(message.targetAddress().get(), message.target(), sequence, List.of(), now));
+	}
+
+	private void acknowledged(PeerMessage message, long now, List<OutgoingMessage> out) {
+		ProbeTracker.Relayed relayed = this.probes.relayedAnswered(message.sequence());
+		if (relayed != null) {
+			out.add(this.composer.acknowledgement(relayed.requester(), relayed.sequence(), List.of(), now));
+			return;
+		}
+		if (this.probes.answered(message.sequence()) != null) {
+			this.health.probeAnswered();
+		}
+		List<MemberUpdate> doubts = doubts(message, now);
+		if (!doubts.isEmpty()) {
+			out.add(this.composer.gossipTo(message.sender().address(), doubts));
+		}
+	}
+
+	// Tells a sender that it is suspected or removed here, so that it refutes.
+	private List<MemberUpdate> doubts(PeerMessage message, long now) {
+		PeerIdentity sender = message.sender();
+		MemberEntry entry = this.table.find(sender.id());
+		if (entry != null) {
+			boolean suspected = entry.suspected && entry.instance().equals(sender.instance());
+			return suspected ? List.of(entry.suspicion(now)) : List.of();
+		}
+		MemberTable.RemovedMember removed = this.table.findRemoved(sender.id());
+		boolean known = removed != null && removed.update().instance().equals(sender.instance());
+		return known ? List.of(removed.update()) : List.of();
+	}
+
+}
