Add the membership experiment and remove work that grew with the fleet

The cost and the detection time of membership at the planned size were not known.

Now only suspected members are scanned, a burst ends early where peers repeat what is known, and pages carry suspicions so that a joining node does not keep a crashed member. A lost failure domain, whose ring has no prober left, is probed by the others.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/membership/GossipQueue.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/membership/GossipQueue.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 import org.wasabicart.core.model.MemberState;
 import org.wasabicart.core.model.NodeId;
@@ -18,12 +19,40 @@
 	private static final Comparator<Item> ORDER = Comparator.<Item>comparingInt((item) -> item.priority)
 		.thenComparing(Comparator.<Item>comparingInt((item) -> item.remaining).reversed());
 
+	private static final int BURST_SIZE = 24;
+
+	private static final int DUPLICATE_COST = 2;
+
+	/** After this time the comparison of digests is left to find the rest. */
+	private static final long MAXIMUM_AGE_NANOSECONDS = TimeUnit.SECONDS.toNanos(10);
+
 	private final Map<NodeId, Item> items = new HashMap<>();
 
 	void add(MemberUpdate update, int transmissions, long now) {
 		this.items.put(update.id(), new Item(update, transmissions, now));
 	}
 
+	/**
+	 * Notes that a peer passed on an update that is already known. In a burst of changes
+	 * this ends the dissemination of what most peers know; a small queue keeps its full
+	 * number of transmissions, so that single changes reach everyone.
+	 * @param update update received
+	 */
+	void duplicate(MemberUpdate update) {
+		if (this.items.size() <= BURST_SIZE) {
+			return;
+		}
+		Item item = this.items.get(update.id());
+		if (item == null || item.update.getClass() != update.getClass()
+				|| item.update.incarnation() != update.incarnation()) {
+			return;
+		}
+		item.remaining -= DUPLICATE_COST;
+		if (item.remaining <= 0) {
+			this.items.remove(update.id());
+		}
+	}
+
 	boolean isEmpty() {
 		return this.items.isEmpty();
 	}
@@ -43,6 +72,7 @@
 		if (this.items.isEmpty()) {
 			return List.of();
 		}
+		this.items.values().removeIf((item) -> now - item.since > MAXIMUM_AGE_NANOSECONDS);
 		List<Item> candidates = new ArrayList<>(this.items.values());
 		if (candidates.size() > 1) {
 			candidates.sort(ORDER);
--- a/wasabicart-core/src/main/java/org/wasabicart/core/membership/MemberTable.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/membership/MemberTable.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
@@ -23,6 +25,8 @@
 
 	private final NavigableMap<NodeId, MemberEntry> live = new TreeMap<>();
 
+	private final Set<MemberEntry> suspected = new LinkedHashSet<>();
+
 	private final Map<NodeId, RemovedMember> removed = new HashMap<>();
 
 	private final int[] buckets = new int[BUCKETS];
@@ -52,8 +56,8 @@
 		if (update instanceof MemberUpdate.Announced announced) {
 			return announce(announced, now);
 		}
-		if (update instanceof MemberUpdate.Suspected suspected) {
-			return suspect(suspected, now);
+		if (update instanceof MemberUpdate.Suspected suspicion) {
+			return suspect(suspicion, now);
 		}
 		return remove((MemberUpdate.Removed) update, now);
 	}
@@ -83,6 +87,7 @@
 		entry.member = update.member();
 		entry.incarnation = update.incarnation();
 		entry.suspected = false;
+		this.suspected.remove(entry);
 		toggle(entry);
 		this.viewVersion++;
 		if (moved) {
@@ -103,6 +108,7 @@
 			toggle(entry);
 		}
 		entry.suspected = true;
+		this.suspected.add(entry);
 		entry.suspectedHere = false;
 		entry.suspectedSince = now - TimeUnit.MILLISECONDS.toNanos(update.ageMilliseconds());
 		return Effect.NEWS;
@@ -114,6 +120,7 @@
 			return Effect.NONE;
 		}
 		this.live.remove(update.id());
+		this.suspected.remove(entry);
 		toggle(entry);
 		this.removed.put(update.id(), new RemovedMember(update, entry.member, now));
 		this.structureVersion++;
@@ -157,6 +164,10 @@
 		return this.live.values();
 	}
 
+	Collection<MemberEntry> suspected() {
+		return this.suspected;
+	}
+
 	Collection<MemberEntry> entriesAfter(NodeId id) {
 		return this.live.tailMap(id, false).values();
 	}
--- a/wasabicart-core/src/main/java/org/wasabicart/core/membership/MembershipController.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/membership/MembershipController.java
@@ -223,6 +223,9 @@
 			this.synchronizer.changed(now);
 			this.queue.add(update, transmissions(), now);
 		}
+		else {
+			this.queue.duplicate(update);
+		}
 		return false;
 	}
 
--- a/wasabicart-core/src/main/java/org/wasabicart/core/membership/Prober.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/membership/Prober.java
@@ -32,6 +32,8 @@
 
 	private final ProbeTracker probes = new ProbeTracker();
 
+	private final FollowUpProbes followUps;
+
 	private int ringPosition;
 
 	private boolean started;
@@ -50,15 +52,14 @@
 		this.composer = composer;
 		this.health = health;
 		this.random = random;
+		this.followUps = new FollowUpProbes(table, random);
 	}
 
 	// Probes that were open during a pause say nothing about their targets.
 	void resume(long pause) {
 		this.probes.clear();
-		for (MemberEntry entry : this.table.entries()) {
-			if (entry.suspected) {
-				entry.suspectedSince += pause;
-			}
+		for (MemberEntry entry : this.table.suspected()) {
+			entry.suspectedSince += pause;
 		}
 	}
 
@@ -96,6 +97,7 @@
 			this.nextRegionProbe = next(this.nextRegionProbe, this.settings.regionProbeInterval().toNanos(), now);
 			probe(this.directory.randomOfOtherRegion(this.random), now, out);
 		}
+		probe(this.followUps.next(now, this.composer.localId()), now, out);
 	}
 
 	private static long next(long previous, long interval, long now) {
@@ -162,8 +164,8 @@
 			return;
 		}
 		List<MemberEntry> expired = new ArrayList<>();
-		for (MemberEntry entry : this.table.entries()) {
-			if (entry.suspected && now - entry.suspectedSince >= this.settings.suspicionTimeout().toNanos()) {
+		for (MemberEntry entry : this.table.suspected()) {
+			if (now - entry.suspectedSince >= this.settings.suspicionTimeout().toNanos()) {
 				expired.add(entry);
 			}
 		}
--- a/wasabicart-core/src/main/java/org/wasabicart/core/membership/ViewSynchronizer.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/membership/ViewSynchronizer.java
@@ -28,7 +28,7 @@
 	/** Differences that gossip is about to remove are not worth an exchange. */
 	private static final long SETTLING_TIME = TimeUnit.SECONDS.toNanos(2);
 
-	private static final long MAXIMUM_SETTLING_TIME = TimeUnit.SECONDS.toNanos(6);
+	private static final long MAXIMUM_SETTLING_TIME = TimeUnit.SECONDS.toNanos(4);
 
 	/** With more differing buckets than this, whole pages are cheaper. */
 	private static final int MAXIMUM_BUCKETS = 24;
@@ -160,7 +160,7 @@
 	void received(PeerMessage message, long now, List<OutgoingMessage> out) {
 		switch (message.type()) {
 			case PING, ACKNOWLEDGEMENT -> compare(message, now, out);
-			case STATE_REQUEST -> out.add(page(message));
+			case STATE_REQUEST -> out.add(page(message, now));
 			case STATE_PAGE -> pageReceived(message, now, out);
 			case DIGEST -> digestReceived(message, now, out);
 			case DIGEST_REPLY -> digestReplied(message, now, out);
@@ -187,25 +187,36 @@
 				List.of()));
 	}
 
-	private OutgoingMessage page(PeerMessage message) {
+	private OutgoingMessage page(PeerMessage message, long now) {
 		Collection<MemberEntry> entries = message.cursor().isEmpty() ? this.table.entries()
 				: this.table.entriesAfter(new NodeId(message.cursor()));
 		List<MemberUpdate> updates = new ArrayList<>();
 		int space = this.composer.space(NODE_ID_BYTES);
 		String cursor = "";
 		for (MemberEntry entry : entries) {
-			MemberUpdate update = entry.announcement();
-			space -= UpdateSize.of(update);
+			space -= sizeOf(entry);
 			if (space < 0) {
 				cursor = updates.get(updates.size() - 1).id().value();
 				break;
 			}
-			updates.add(update);
+			addRecord(entry, now, updates);
 		}
 		return this.composer.state(message.sender().address(), MessageType.STATE_PAGE, message.sequence(), cursor,
 				updates);
 	}
 
+	// A receiver that missed the suspicion would keep a crashed member.
+	private static void addRecord(MemberEntry entry, long now, List<MemberUpdate> updates) {
+		updates.add(entry.announcement());
+		if (entry.suspected) {
+			updates.add(entry.suspicion(now));
+		}
+	}
+
+	private static int sizeOf(MemberEntry entry) {
+		return UpdateSize.of(entry.announcement()) + (entry.suspected ? UpdateSize.of(entry.removal()) : 0);
+	}
+
 	private void pageReceived(PeerMessage message, long now, List<OutgoingMessage> out) {
 		if (!this.transfer.expects(message.sequence())) {
 			return;
@@ -229,7 +240,7 @@
 			}
 		}
 		List<MemberUpdate> updates = recordsOf(new HashSet<>(differences),
-				this.composer.space(differences.size() * BYTES_PER_BUCKET));
+				this.composer.space(differences.size() * BYTES_PER_BUCKET), now);
 		out.add(this.composer.digest(message.sender().address(), MessageType.DIGEST_REPLY, differences, updates));
 		copyIfMany(differences, message, now, out);
 	}
@@ -239,7 +250,7 @@
 			return;
 		}
 		Set<Integer> differences = new HashSet<>(message.buckets());
-		List<MemberUpdate> updates = recordsOf(differences, this.composer.space(0));
+		List<MemberUpdate> updates = recordsOf(differences, this.composer.space(0), now);
 		out.add(this.composer.gossipTo(message.sender().address(), updates));
 		copyIfMany(message.buckets(), message, now, out);
 	}
@@ -252,11 +263,11 @@
 	}
 
 	// Removals go first, since they are small, then records from a random place.
-	private List<MemberUpdate> recordsOf(Set<Integer> buckets, int bytes) {
+	private List<MemberUpdate> recordsOf(Set<Integer> buckets, int bytes, long now) {
 		List<MemberUpdate> candidates = new ArrayList<>();
 		for (MemberEntry entry : this.table.entries()) {
 			if (buckets.contains(MemberEntry.bucket(entry.position))) {
-				candidates.add(entry.announcement());
+				addRecord(entry, now, candidates);
 			}
 		}
 		if (!candidates.isEmpty()) {
--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/VirtualTime.java
@@ -0,0 +1,49 @@
+package org.wasabicart.experiment.membership;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+import org.wasabicart.core.Ticker;
+
+/**
+ * Clock that advances from event to event. Not safe for use by several threads.
+ */
+final class VirtualTime implements Ticker {
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(
+			Comparator.comparingLong(Event::time).thenComparingLong(Event::number));
+
+	private long now;
+
+	private long number;
+
+	@Override
+	public long nanoseconds() {
+		return this.now;
+	}
+
+	void schedule(long time, Runnable action) {
+		this.number++;
+		this.events.add(new Event(Math.max(time, this.now), this.number, action));
+	}
+
+	void runUntil(long time) {
+		while (!this.events.isEmpty() && this.events.peek().time() <= time) {
+			Event event = this.events.poll();
+			this.now = event.time();
+			event.action().run();
+		}
+		this.now = time;
+	}
+
+	/**
+	 * Action at a time.
+	 *
+	 * @param time time in nanoseconds
+	 * @param number order of events at the same time
+	 * @param action action
+	 */
+	private record Event(long time, long number, Runnable action) {
+	}
+
+}
