Implement admission, retry bounds and routing decisions

Cause: the request path needs complete implementations of the decision interfaces.

Admission combines an adaptive limit, a fair queue and a priority threshold, each its own object.

--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/admission/FairQueue.java
@@ -0,0 +1,174 @@
+package org.wasabicart.core.admission;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.IdentityHashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
+
+import org.wasabicart.core.model.Priority;
+import org.wasabicart.core.model.TenantName;
+
+/**
+ * Queue that serves the highest importance first, nested calls before root requests, and
+ * tenants by their shares within those. Removed calls stay in the ordered collections
+ * until these are compacted.
+ */
+final class FairQueue implements CallQueue {
+
+	/**
+	 * Removed calls that the ordered collections may hold in addition to the live ones.
+	 */
+	private static final int SLACK = 64;
+
+	private final ToDoubleFunction<TenantName> share;
+
+	/** Calls by importance and nesting, lowest first. */
+	private final TreeMap<Integer, TenantQueues> classes = new TreeMap<>();
+
+	private final Map<AdmissionListener, QueuedCall> byListener = new IdentityHashMap<>();
+
+	private final PriorityQueue<QueuedCall> byExpiry = new PriorityQueue<>(
+			Comparator.comparingLong(QueuedCall::expiryTime));
+
+	private final Deque<QueuedCall> byArrival = new ArrayDeque<>();
+
+	private long bytes;
+
+	FairQueue(ToDoubleFunction<TenantName> share) {
+		this.share = share;
+	}
+
+	@Override
+	public void add(QueuedCall call, long capacityBytes, long now, Consumer<QueuedCall> dropped) {
+		if (this.bytes + call.bytes() > capacityBytes) {
+			expire(now, dropped);
+		}
+		while (this.bytes + call.bytes() > capacityBytes) {
+			QueuedCall victim = victim(call);
+			if (victim == null) {
+				dropped.accept(call);
+				return;
+			}
+			remove(victim);
+			dropped.accept(victim);
+		}
+		call.enqueued();
+		this.bytes += call.bytes();
+		this.byListener.put(call.listener(), call);
+		this.byExpiry.add(call);
+		this.byArrival.addLast(call);
+		this.classes.computeIfAbsent(classOf(call), (key) -> new TenantQueues(this.share)).add(call);
+	}
+
+	// Returns the call that makes room, or null if no call is less entitled.
+	private QueuedCall victim(QueuedCall newcomer) {
+		Map.Entry<Integer, TenantQueues> lowest = this.classes.firstEntry();
+		if (lowest == null || lowest.getKey() > classOf(newcomer)) {
+			return null;
+		}
+		boolean sameClass = lowest.getKey() == classOf(newcomer);
+		return sameClass ? lowest.getValue().oldestOverShare(newcomer) : lowest.getValue().oldestOfLargest();
+	}
+
+	@Override
+	public QueuedCall poll(long now, Consumer<QueuedCall> dropped) {
+		expire(now, dropped);
+		if (this.classes.isEmpty()) {
+			return null;
+		}
+		TenantQueues tenants = this.classes.lastEntry().getValue();
+		QueuedCall call = tenants.next(standing(now));
+		forget(call);
+		tenants.removedNext(call);
+		afterRemoval(call, tenants);
+		return call;
+	}
+
+	// Under standing overload the oldest calls would expire soon after they start, so the
+	// newest run first.
+	private boolean standing(long now) {
+		QueuedCall oldest = oldest();
+		return oldest != null && oldest.waited(now) > oldest.queueTime() / 2;
+	}
+
+	@Override
+	public void expire(long now, Consumer<QueuedCall> dropped) {
+		QueuedCall first = this.byExpiry.peek();
+		while (first != null && (!first.queued() || first.expired(now))) {
+			this.byExpiry.poll();
+			if (first.queued()) {
+				remove(first);
+				dropped.accept(first);
+			}
+			first = this.byExpiry.peek();
+		}
+	}
+
+	@Override
+	public boolean remove(AdmissionListener listener) {
+		QueuedCall call = this.byListener.get(listener);
+		if (call != null) {
+			remove(call);
+		}
+		return call != null;
+	}
+
+	private void remove(QueuedCall call) {
+		TenantQueues tenants = this.classes.get(classOf(call));
+		forget(call);
+		tenants.removed(call);
+		afterRemoval(call, tenants);
+	}
+
+	private void forget(QueuedCall call) {
+		call.dequeued();
+		this.bytes -= call.bytes();
+		this.byListener.remove(call.listener());
+	}
+
+	private void afterRemoval(QueuedCall call, TenantQueues tenants) {
+		if (tenants.isEmpty()) {
+			this.classes.remove(classOf(call));
+		}
+		int most = 2 * size() + SLACK;
+		if (this.byExpiry.size() > most) {
+			this.byExpiry.removeIf((other) -> !other.queued());
+		}
+		if (this.byArrival.size() > most) {
+			this.byArrival.removeIf((other) -> !other.queued());
+		}
+	}
+
+	private QueuedCall oldest() {
+		while (!this.byArrival.isEmpty() && !this.byArrival.peekFirst().queued()) {
+			this.byArrival.pollFirst();
+		}
+		return this.byArrival.peekFirst();
+	}
+
+	@Override
+	public long oldestWait(long now) {
+		QueuedCall oldest = oldest();
+		return (oldest != null) ? oldest.waited(now) : 0;
+	}
+
+	@Override
+	public int size() {
+		return this.byListener.size();
+	}
+
+	@Override
+	public long bytes() {
+		return this.bytes;
+	}
+
+	private static int classOf(QueuedCall call) {
+		return call.priority() / Priority.BUCKETS;
+	}
+
+}
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/admission/ThresholdControl.java
@@ -0,0 +1,28 @@
+package org.wasabicart.core.admission;
+
+/**
+ * Controls the lowest admitted priority. Invoked under the controller's lock.
+ */
+public interface ThresholdControl {
+
+	/**
+	 * Counts one offered call.
+	 * @param priority priority of the call
+	 * @param nowNanoseconds the ticker's time
+	 */
+	void offered(int priority, long nowNanoseconds);
+
+	/**
+	 * Updates the threshold. May be invoked often; the control keeps its own interval.
+	 * @param load load of the backend server
+	 * @return the lowest priority to admit from now on
+	 */
+	int update(ThresholdInput load);
+
+	/**
+	 * Returns demand divided by capacity, for retry hints.
+	 * @return the ratio at the last update, including refused demand
+	 */
+	double loadRatio();
+
+}
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/retry/RetryAllowances.java
@@ -0,0 +1,37 @@
+package org.wasabicart.core.retry;
+
+/**
+ * Creates retry allowances.
+ * <p>
+ * Example: <pre>{@code
+ * RetryAllowance allowance = RetryAllowances.bounded(context.retryAllowance());
+ * RetryAllowance.Reservation part = allowance.reserve(allowance.available());
+ * // send the call with part.size(); when its answer arrives:
+ * part.giveBack(answer.unspentRetryAllowance());
+ * }</pre>
+ */
+public final class RetryAllowances {
+
+	private RetryAllowances() {
+	}
+
+	/**
+	 * Creates an allowance that bounds the attempts of the whole subtree.
+	 * @param size attempts beyond the first, zero or higher
+	 * @return the allowance
+	 */
+	public static RetryAllowance bounded(int size) {
+		return new SharedRetryAllowance(size);
+	}
+
+	/**
+	 * Creates the baseline allowance of plain retries at every hop, which bounds nothing
+	 * across hops.
+	 * @param retriesPerHop attempts beyond the first at each hop, zero or higher
+	 * @return the allowance
+	 */
+	public static RetryAllowance perHop(int retriesPerHop) {
+		return new PerHopRetryAllowance(retriesPerHop);
+	}
+
+}
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/routing/LocalityRouter.java
@@ -0,0 +1,198 @@
+package org.wasabicart.core.routing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.wasabicart.core.Ticker;
+import org.wasabicart.core.model.FailureDomain;
+import org.wasabicart.core.model.Member;
+import org.wasabicart.core.model.MemberState;
+import org.wasabicart.core.model.NodeId;
+import org.wasabicart.core.model.RefusalReason;
+import org.wasabicart.core.model.RegionName;
+import org.wasabicart.core.model.RequestContext;
+import org.wasabicart.core.model.ServiceName;
+import org.wasabicart.core.retry.RetryHints;
+
+/**
+ * Router with two choices on observed load, locality first, with spill-over.
+ */
+final class LocalityRouter implements Router {
+
+	/**
+	 * A nearer member that is this many times slower than a farther one is passed over.
+	 */
+	static final double SPILL_LATENCY_RATIO = 2;
+
+	/** Latency differences below this never cause a spill. */
+	static final long SPILL_LATENCY_MARGIN = Duration.ofMillis(5).toNanos();
+
+	/** A farther member's latency that is older than this is not compared. */
+	static final long SPILL_LATENCY_AGE = Duration.ofSeconds(1).toNanos();
+
+	/** Refused share of the nearer member below which nothing spills. */
+	static final double SPILL_PRESSURE = 0.02;
+
+	private final FailureDomain failureDomain;
+
+	private final RegionName region;
+
+	private final RegionLink regionLink;
+
+	private final Ticker ticker;
+
+	private final RandomGenerator random;
+
+	private final RetryHints hints;
+
+	private volatile Map<NodeId, MemberLoad> loads = Map.of();
+
+	private volatile Map<ServiceName, ServiceMembers> services = Map.of();
+
+	LocalityRouter(FailureDomain failureDomain, RegionName region, RegionLink regionLink, Ticker ticker,
+			RandomGenerator random) {
+		this.failureDomain = Objects.requireNonNull(failureDomain, "failureDomain");
+		this.region = Objects.requireNonNull(region, "region");
+		this.regionLink = Objects.requireNonNull(regionLink, "regionLink");
+		this.ticker = Objects.requireNonNull(ticker, "ticker");
+		this.random = Objects.requireNonNull(random, "random");
+		this.hints = new RetryHints(random);
+	}
+
+	@Override
+	public RouteDecision choose(ServiceName service, RequestContext context, long bytes, Set<NodeId> excluded) {
+		ServiceMembers members = this.services.get(service);
+		if (members == null) {
+			return notRouted(RefusalReason.NO_BACKEND_SERVER);
+		}
+		long now = this.ticker.nanoseconds();
+		MemberLoad best = null;
+		boolean linkFull = false;
+		for (int distance = 0; distance < ServiceMembers.DISTANCES; distance++) {
+			if (best != null && !maySpill(best, now)) {
+				break;
+			}
+			MemberLoad candidate = members.choose(distance, excluded, now, this.random);
+			if (candidate == null) {
+				continue;
+			}
+			if (distance == ServiceMembers.ACROSS && !this.regionLink.hasRoom(bytes)) {
+				linkFull = true;
+				continue;
+			}
+			if (best == null || spills(best, candidate, now)) {
+				best = candidate;
+			}
+		}
+		if (best != null) {
+			return chosen(best);
+		}
+		return linkFull ? notRouted(RefusalReason.REGION_LINK_FULL) : lastResort(members, bytes, excluded);
+	}
+
+	// Failures can be wrong about all members at once, so a call is still tried.
+	private RouteDecision lastResort(ServiceMembers members, long bytes, Set<NodeId> excluded) {
+		for (int distance = 0; distance < ServiceMembers.DISTANCES; distance++) {
+			MemberLoad member = members.leastEjected(distance, excluded);
+			if (member != null && (distance != ServiceMembers.ACROSS || this.regionLink.hasRoom(bytes))) {
+				return chosen(member);
+			}
+		}
+		return notRouted(RefusalReason.NO_BACKEND_SERVER);
+	}
+
+	private RouteDecision chosen(MemberLoad load) {
+		Member member = load.member();
+		return new RouteDecision.Chosen(member, across(member));
+	}
+
+	private RouteDecision notRouted(RefusalReason reason) {
+		return new RouteDecision.NotRouted(this.hints.refuse(reason, 1));
+	}
+
+	private boolean across(Member member) {
+		return !member.region().equals(this.region);
+	}
+
+	private static boolean maySpill(MemberLoad nearer, long now) {
+		return nearer.pressure(now) > SPILL_PRESSURE || nearer.inFlight() >= nearer.member().slots()
+				|| nearer.latency() > SPILL_LATENCY_MARGIN;
+	}
+
+	private boolean spills(MemberLoad nearer, MemberLoad farther, long now) {
+		double pressure = nearer.pressure(now) - farther.pressure(now);
+		if (pressure > SPILL_PRESSURE && this.random.nextDouble() < pressure) {
+			return true;
+		}
+		int slots = nearer.member().slots();
+		if (slots > 0 && nearer.inFlight() >= slots && farther.inFlight() < farther.member().slots()) {
+			return true;
+		}
+		boolean comparable = farther.latency() > 0 && now - farther.latencyTime() < SPILL_LATENCY_AGE;
+		return comparable && nearer.latency() > SPILL_LATENCY_RATIO * farther.latency() + SPILL_LATENCY_MARGIN;
+	}
+
+	@Override
+	public void started(Member member) {
+		MemberLoad load = this.loads.get(member.id());
+		if (load != null) {
+			load.started();
+		}
+		if (across(member)) {
+			this.regionLink.started();
+		}
+	}
+
+	@Override
+	public void finished(Member member, RouteSample sample) {
+		MemberLoad load = this.loads.get(member.id());
+		if (load != null && load.member().instance().equals(member.instance())) {
+			load.finished(sample, this.ticker.nanoseconds(), this.random);
+		}
+		if (across(member)) {
+			this.regionLink.finished(member.id(), sample);
+		}
+	}
+
+	@Override
+	public synchronized void updateMembers(Collection<Member> members) {
+		long now = this.ticker.nanoseconds();
+		Map<NodeId, MemberLoad> newLoads = new HashMap<>();
+		Map<ServiceName, List<List<MemberLoad>>> groups = new HashMap<>();
+		for (Member member : members) {
+			MemberLoad load = this.loads.get(member.id());
+			if (load == null || !load.member().instance().equals(member.instance())) {
+				load = new MemberLoad(member, now);
+			}
+			load.update(member);
+			newLoads.put(member.id(), load);
+			if (member.state() == MemberState.SERVING) {
+				groups.computeIfAbsent(member.service(), (service) -> emptyGroups()).get(distance(member)).add(load);
+			}
+		}
+		Map<ServiceName, ServiceMembers> newServices = new HashMap<>();
+		groups.forEach((service, lists) -> newServices.put(service, new ServiceMembers(lists)));
+		this.regionLink.retain(newLoads.keySet());
+		this.loads = newLoads;
+		this.services = newServices;
+	}
+
+	private static List<List<MemberLoad>> emptyGroups() {
+		return List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+	}
+
+	private int distance(Member member) {
+		if (member.failureDomain().equals(this.failureDomain)) {
+			return 0;
+		}
+		return across(member) ? ServiceMembers.ACROSS : 1;
+	}
+
+}
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/routing/RandomRouter.java
@@ -0,0 +1,101 @@
+package org.wasabicart.core.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.wasabicart.core.model.Member;
+import org.wasabicart.core.model.MemberState;
+import org.wasabicart.core.model.NodeId;
+import org.wasabicart.core.model.RefusalReason;
+import org.wasabicart.core.model.RegionName;
+import org.wasabicart.core.model.RequestContext;
+import org.wasabicart.core.model.ServiceName;
+import org.wasabicart.core.retry.RetryHints;
+
+/**
+ * Router that spreads calls evenly over all members in the own region, as a baseline for
+ * comparison; other regions are used only when the own region has no member.
+ */
+final class RandomRouter implements Router {
+
+	private final RegionName region;
+
+	private final RegionLink regionLink;
+
+	private final RandomGenerator random;
+
+	private final RetryHints hints;
+
+	private volatile Map<ServiceName, List<Member>> near = Map.of();
+
+	private volatile Map<ServiceName, List<Member>> far = Map.of();
+
+	RandomRouter(RegionName region, RegionLink regionLink, RandomGenerator random) {
+		this.region = Objects.requireNonNull(region, "region");
+		this.regionLink = Objects.requireNonNull(regionLink, "regionLink");
+		this.random = Objects.requireNonNull(random, "random");
+		this.hints = new RetryHints(random);
+	}
+
+	@Override
+	public RouteDecision choose(ServiceName service, RequestContext context, long bytes, Set<NodeId> excluded) {
+		Member member = pick(this.near.getOrDefault(service, List.of()), excluded);
+		if (member == null) {
+			member = pick(this.far.getOrDefault(service, List.of()), excluded);
+		}
+		if (member == null) {
+			return new RouteDecision.NotRouted(this.hints.refuse(RefusalReason.NO_BACKEND_SERVER, 1));
+		}
+		return new RouteDecision.Chosen(member, across(member));
+	}
+
+	private Member pick(List<Member> members, Set<NodeId> excluded) {
+		int start = members.isEmpty() ? 0 : this.random.nextInt(members.size());
+		for (int offset = 0; offset < members.size(); offset++) {
+			Member member = members.get((start + offset) % members.size());
+			if (!excluded.contains(member.id())) {
+				return member;
+			}
+		}
+		return null;
+	}
+
+	private boolean across(Member member) {
+		return !member.region().equals(this.region);
+	}
+
+	@Override
+	public void started(Member member) {
+		if (across(member)) {
+			this.regionLink.started();
+		}
+	}
+
+	@Override
+	public void finished(Member member, RouteSample sample) {
+		if (across(member)) {
+			this.regionLink.finished(member.id(), sample);
+		}
+	}
+
+	@Override
+	public void updateMembers(Collection<Member> members) {
+		Map<ServiceName, List<Member>> newNear = new HashMap<>();
+		Map<ServiceName, List<Member>> newFar = new HashMap<>();
+		for (Member member : members) {
+			if (member.state() == MemberState.SERVING) {
+				Map<ServiceName, List<Member>> target = across(member) ? newFar : newNear;
+				target.computeIfAbsent(member.service(), (service) -> new ArrayList<>()).add(member);
+			}
+		}
+		this.near = newNear;
+		this.far = newFar;
+	}
+
+}
