Add the links between nodes

The request path needs a transport for calls and control requests between nodes. Links carry length-prefixed protobuf frames over Netty.

The contract of PeerTransport is stated more precisely: a call counts as not run as long as the end of its body was not handed to the connection, because the receiver runs nothing before the end.

--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/link/BodyWriter.java
@@ -0,0 +1,112 @@
+package org.wasabicart.node.link;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongConsumer;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
+import io.netty.channel.Channel;
+
+import org.wasabicart.core.link.ChunkScheduler;
+import org.wasabicart.core.link.ChunkSlice;
+import org.wasabicart.wire.generated.link.Chunk;
+import org.wasabicart.wire.generated.link.Frame;
+
+/**
+ * Writes heads and bodies to a link's channel while the channel has room, one chunk per
+ * stream in turn. Confined to the channel's event loop.
+ */
+final class BodyWriter {
+
+	private final Channel channel;
+
+	private final long epoch;
+
+	private final LongConsumer endWritten;
+
+	private final ChunkScheduler scheduler;
+
+	private final Map<Long, Message> messages = new HashMap<>();
+
+	private boolean pumping;
+
+	/**
+	 * Creates a writer.
+	 * @param channel channel of the link
+	 * @param epoch epoch of the link
+	 * @param limits sizes
+	 * @param endWritten receives a stream number just before the stream's end chunk is
+	 * handed to the channel
+	 */
+	BodyWriter(Channel channel, long epoch, LinkLimits limits, LongConsumer endWritten) {
+		this.channel = channel;
+		this.epoch = epoch;
+		this.endWritten = endWritten;
+		this.scheduler = new ChunkScheduler(limits.chunkBytes(), limits.windowBytes());
+	}
+
+	void add(long stream, Frame head, byte[] body) {
+		this.messages.put(stream, new Message(head, UnsafeByteOperations.unsafeWrap(body)));
+		this.scheduler.add(stream, body.length);
+		pump();
+	}
+
+	void grant(long stream, int bytes) {
+		this.scheduler.grant(stream, bytes);
+		pump();
+	}
+
+	void remove(long stream) {
+		this.messages.remove(stream);
+		this.scheduler.remove(stream);
+	}
+
+	/**
+	 * Writes as much as the channel takes. To be called when the channel becomes
+	 * writable.
+	 */
+	void pump() {
+		if (this.pumping) {
+			return;
+		}
+		this.pumping = true;
+		boolean written = false;
+		while (this.channel.isWritable() && this.channel.isActive()) {
+			Optional<ChunkSlice> slice = this.scheduler.next();
+			if (slice.isEmpty()) {
+				break;
+			}
+			write(slice.get());
+			written = true;
+		}
+		this.pumping = false;
+		if (written) {
+			this.channel.flush();
+		}
+	}
+
+	private void write(ChunkSlice slice) {
+		Message message = this.messages.get(slice.stream());
+		if (slice.offset() == 0) {
+			this.channel.write(message.head());
+		}
+		if (slice.end()) {
+			this.messages.remove(slice.stream());
+			this.endWritten.accept(slice.stream());
+		}
+		Chunk chunk = Chunk.newBuilder()
+			.setEpoch(this.epoch)
+			.setStream(slice.stream())
+			.setData(message.body().substring(slice.offset(), slice.offset() + slice.length()))
+			.setEnd(slice.end())
+			.build();
+		this.channel.write(Frame.newBuilder().setChunk(chunk).build());
+	}
+
+	private record Message(Frame head, ByteString body) {
+
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/link/LinkPipeline.java
@@ -0,0 +1,47 @@
+package org.wasabicart.node.link;
+
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+
+import org.wasabicart.wire.generated.link.Frame;
+
+/**
+ * Handlers of a link's channel: length-prefixed protobuf frames, the handshake, then the
+ * link itself.
+ */
+final class LinkPipeline {
+
+	private static final String LENGTH_DECODER = "length-decoder";
+
+	private static final String LINK = "link";
+
+	private static final int LENGTH_BYTES = 4;
+
+	/** A peer that has not proved the shared key yet may send only small frames. */
+	private static final int MAXIMUM_HANDSHAKE_FRAME_BYTES = 1024;
+
+	private LinkPipeline() {
+	}
+
+	static void initialize(ChannelPipeline pipeline, ChannelHandler handshake) {
+		pipeline.addLast(LENGTH_DECODER, lengthDecoder(MAXIMUM_HANDSHAKE_FRAME_BYTES));
+		pipeline.addLast(new ProtobufDecoder(Frame.getDefaultInstance()));
+		pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
+		pipeline.addLast(new ProtobufEncoder());
+		pipeline.addLast(LINK, handshake);
+	}
+
+	static void established(ChannelPipeline pipeline, ChannelHandler link, LinkLimits limits) {
+		pipeline.replace(LENGTH_DECODER, LENGTH_DECODER, lengthDecoder(limits.maximumFrameBytes()));
+		pipeline.replace(LINK, LINK, link);
+	}
+
+	private static LengthFieldBasedFrameDecoder lengthDecoder(int maximumFrameBytes) {
+		return new LengthFieldBasedFrameDecoder(maximumFrameBytes, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/link/PeerLinks.java
@@ -0,0 +1,123 @@
+package org.wasabicart.node.link;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import io.netty.channel.EventLoop;
+import org.jboss.logging.Logger;
+
+import org.wasabicart.core.model.FailureReason;
+import org.wasabicart.core.model.NodeAddress;
+import org.wasabicart.core.model.RefusalReason;
+
+/**
+ * Links to one peer: one for new work, and suspect ones whose streams have not ended yet.
+ * All of them are confined to one event loop.
+ */
+final class PeerLinks {
+
+	private static final Logger logger = Logger.getLogger(PeerLinks.class);
+
+	private final NodeAddress address;
+
+	private final EventLoop eventLoop;
+
+	private final int maximumWaiting;
+
+	private final Function<PeerLinks, CompletableFuture<ClientLink>> connector;
+
+	private final Deque<ClientStream> waiting = new ArrayDeque<>();
+
+	private ClientLink current;
+
+	private boolean connecting;
+
+	PeerLinks(NodeAddress address, EventLoop eventLoop, int maximumWaiting,
+			Function<PeerLinks, CompletableFuture<ClientLink>> connector) {
+		this.address = address;
+		this.eventLoop = eventLoop;
+		this.maximumWaiting = maximumWaiting;
+		this.connector = connector;
+	}
+
+	InetSocketAddress socketAddress() {
+		return new InetSocketAddress(this.address.host(), this.address.port());
+	}
+
+	EventLoop eventLoop() {
+		return this.eventLoop;
+	}
+
+	/**
+	 * Sends a stream. To be called from any thread.
+	 * @param stream stream
+	 * @param timeoutNanoseconds time after which the stream ends without a response
+	 */
+	void send(ClientStream stream, long timeoutNanoseconds) {
+		try {
+			this.eventLoop.execute(() -> start(stream, timeoutNanoseconds));
+		}
+		catch (RejectedExecutionException ex) {
+			// The transport is closed, so no event loop uses the stream.
+			stream.end(RefusalReason.DRAINING, FailureReason.CONNECTION_LOST);
+		}
+	}
+
+	void cancel(ClientStream stream) {
+		if (!this.eventLoop.isShuttingDown()) {
+			this.eventLoop.execute(() -> stream.abort(RefusalReason.CANCELLED, FailureReason.CANCELLED));
+		}
+	}
+
+	private void start(ClientStream stream, long timeoutNanoseconds) {
+		if (timeoutNanoseconds <= 0) {
+			stream.end(RefusalReason.EXPIRED, FailureReason.TIMEOUT);
+			return;
+		}
+		stream.timer(this.eventLoop.schedule(() -> stream.abort(RefusalReason.EXPIRED, FailureReason.TIMEOUT),
+				timeoutNanoseconds, TimeUnit.NANOSECONDS));
+		if (this.current != null && this.current.usable()) {
+			this.current.open(stream);
+		}
+		else if (this.waiting.size() >= this.maximumWaiting) {
+			stream.end(RefusalReason.TABLE_FULL, FailureReason.CONNECTION_LOST);
+		}
+		else {
+			this.waiting.add(stream);
+			connect();
+		}
+	}
+
+	private void connect() {
+		if (this.connecting) {
+			return;
+		}
+		this.connecting = true;
+		this.connector.apply(this).whenComplete(this::connected);
+	}
+
+	private void connected(ClientLink link, Throwable failure) {
+		this.connecting = false;
+		this.current = link;
+		if (failure != null) {
+			logger.debugf("event=link-not-opened peer=%s reason=\"%s\"", this.address, failure);
+		}
+		for (ClientStream stream = this.waiting.poll(); stream != null; stream = this.waiting.poll()) {
+			if (stream.finished()) {
+				continue;
+			}
+			if (link != null) {
+				link.open(stream);
+			}
+			else {
+				stream.end(RefusalReason.UNREACHABLE, FailureReason.CONNECTION_LOST);
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/link/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Links between nodes: Netty implementation of the peer contract.
+ */
+package org.wasabicart.node.link;
--- a/wasabicart-node/src/main/java/org/wasabicart/node/peer/CallHandler.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/peer/CallHandler.java
@@ -7,7 +7,7 @@
 public interface CallHandler {
 
 	/**
-	 * Serves one call.
+	 * Serves one call. Invoked on a thread of the transport that must not be blocked.
 	 * @param request call with its whole body
 	 * @param listener to be invoked exactly once with the response
 	 * @return handle that the transport uses to cancel the call when the peer cancels it
--- a/wasabicart-node/src/main/java/org/wasabicart/node/peer/PeerTransport.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/peer/PeerTransport.java
@@ -13,8 +13,10 @@
 public interface PeerTransport {
 
 	/**
-	 * Sends a call. The listener is invoked exactly once. A {@code Refused} outcome that
-	 * the transport itself produces means that no byte of the call was sent.
+	 * Sends a call. The listener is invoked exactly once, on a thread of the transport
+	 * that must not be blocked. A {@code Refused} outcome that the transport itself
+	 * produces means that the end of the call was not handed to the connection: the
+	 * receiver runs nothing before the end, so the call cannot have run.
 	 * @param address advertised address of the peer
 	 * @param request call to send
 	 * @param listener receives the response
--- /dev/null
+++ b/wasabicart-wire/src/main/java/org/wasabicart/wire/OutcomeCodec.java
@@ -0,0 +1,74 @@
+package org.wasabicart.wire;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.function.Function;
+
+import org.wasabicart.core.model.FailureReason;
+import org.wasabicart.core.model.Outcome;
+import org.wasabicart.core.model.RefusalReason;
+import org.wasabicart.wire.generated.link.Response;
+import org.wasabicart.wire.generated.link.Result;
+
+/**
+ * Maps outcomes to the head of a response and back. A reason that a newer version added
+ * is read as a general one of the same result, so that "not run" keeps its meaning.
+ */
+public final class OutcomeCodec {
+
+	private OutcomeCodec() {
+	}
+
+	/**
+	 * Writes an outcome into the head of a response.
+	 * @param outcome outcome
+	 * @param response head to fill
+	 */
+	public static void write(Outcome outcome, Response.Builder response) {
+		if (outcome instanceof Outcome.Completed completed) {
+			response.setResult(Result.COMPLETED).setStatus(completed.status());
+		}
+		else if (outcome instanceof Outcome.Refused refused) {
+			long milliseconds = Math.min(Integer.MAX_VALUE, Math.max(0, refused.retryAfter().toMillis()));
+			response.setResult(Result.REFUSED)
+				.setReason(refused.reason().code())
+				.setRetryAfterMilliseconds((int) milliseconds);
+		}
+		else if (outcome instanceof Outcome.Failed failed) {
+			response.setResult(Result.FAILED).setReason(failed.reason().code()).setRetriedBelow(failed.retriedBelow());
+		}
+		else if (outcome instanceof Outcome.Unknown unknown) {
+			response.setResult(Result.UNKNOWN).setReason(unknown.reason().code());
+		}
+	}
+
+	/**
+	 * Reads an outcome from the head of a response.
+	 * @param response head
+	 * @return the outcome
+	 * @throws WireFormatException if the result is missing or from a newer version
+	 */
+	public static Outcome read(Response response) throws WireFormatException {
+		return switch (response.getResult()) {
+			case COMPLETED -> new Outcome.Completed(response.getStatus());
+			case REFUSED -> new Outcome.Refused(refusal(response.getReason()),
+					Duration.ofMillis(Integer.toUnsignedLong(response.getRetryAfterMilliseconds())));
+			case FAILED -> new Outcome.Failed(failure(response.getReason()), response.getRetriedBelow());
+			case UNKNOWN -> new Outcome.Unknown(failure(response.getReason()));
+			case RESULT_UNSPECIFIED, UNRECOGNIZED -> throw new WireFormatException("Result is not known", null);
+		};
+	}
+
+	private static RefusalReason refusal(String code) {
+		return find(RefusalReason.values(), RefusalReason::code, code, RefusalReason.OVERLOADED);
+	}
+
+	private static FailureReason failure(String code) {
+		return find(FailureReason.values(), FailureReason::code, code, FailureReason.BACKEND_ERROR);
+	}
+
+	private static <T> T find(T[] values, Function<T, String> code, String wanted, T otherwise) {
+		return Arrays.stream(values).filter((value) -> code.apply(value).equals(wanted)).findFirst().orElse(otherwise);
+	}
+
+}
