Add the store stand-in

Cause: the store client, publishing, membership and orders need a store to run against. HTTP server that reports disconnects, and answers whose whole body follows from the request.

--- /dev/null
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/NestedCalls.java
@@ -0,0 +1,84 @@
+package org.wasabicart.standin.backend;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.wasabicart.standin.http.AnswerCheck;
+import org.wasabicart.standin.http.Answers;
+
+/**
+ * Calls that a run makes to other services through its node.
+ */
+final class NestedCalls {
+
+	private final HttpClient client;
+
+	private final String node;
+
+	private final List<List<String>> groups;
+
+	NestedCalls(HttpClient client, String node, List<List<String>> groups) {
+		this.client = client;
+		this.node = node;
+		this.groups = groups;
+	}
+
+	/**
+	 * Calls all groups in sequence.
+	 * @param run run
+	 * @return result, {@code completed} if each call brought its whole answer
+	 */
+	CompletableFuture<String> call(Run run) {
+		return callFrom(run, 0);
+	}
+
+	private CompletableFuture<String> callFrom(Run run, int position) {
+		if (position == this.groups.size()) {
+			return CompletableFuture.completedFuture("completed");
+		}
+		List<CompletableFuture<String>> calls = new ArrayList<>();
+		for (String service : this.groups.get(position)) {
+			calls.add(callService(run, service));
+		}
+		return CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new)).thenCompose((ignored) -> {
+			for (CompletableFuture<String> call : calls) {
+				if (!call.join().equals("completed")) {
+					return call;
+				}
+			}
+			return callFrom(run, position + 1);
+		});
+	}
+
+	private CompletableFuture<String> callService(Run run, String service) {
+		String path = "/" + service + run.path();
+		long remaining = Math.max(1, run.request().remainingMilliseconds());
+		HttpRequest.Builder builder = HttpRequest.newBuilder(URI.create(this.node + path))
+			.timeout(Duration.ofMillis(remaining))
+			.header("Wasabicart-Service", service)
+			.header("Wasabicart-Context", run.request().context());
+		if (run.request().method().equals("POST")) {
+			builder.POST(HttpRequest.BodyPublishers.ofString(run.root()));
+		}
+		CompletableFuture<HttpResponse<byte[]>> exchange = this.client.sendAsync(builder.build(),
+				HttpResponse.BodyHandlers.ofByteArray());
+		run.add(exchange);
+		return exchange.handle((response, ex) -> {
+			if (response == null) {
+				return "nested-failed";
+			}
+			if (response.statusCode() != 200) {
+				return "nested-" + response.headers().firstValue("Wasabicart-Execution").orElse("failed");
+			}
+			AnswerCheck check = Answers.check(response.body(), run.root(), path);
+			return (check == AnswerCheck.COMPLETE) ? "completed" : "nested-wrong-answer";
+		});
+	}
+
+}
--- /dev/null
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/RunRequest.java
@@ -0,0 +1,45 @@
+package org.wasabicart.standin.backend;
+
+import java.time.Duration;
+
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+
+/**
+ * What a backend server reads from a request.
+ *
+ * @param method HTTP method
+ * @param path path without query
+ * @param root root request id
+ * @param kind kind, or empty
+ * @param ticket ticket of an order, or empty
+ * @param context handle for nested calls, or empty
+ * @param deadlineNanoseconds deadline by {@link System#nanoTime()}
+ */
+record RunRequest(String method, String path, String root, String kind, String ticket, String context,
+		long deadlineNanoseconds) {
+
+	private static final long DEFAULT_DEADLINE_MILLISECONDS = 60_000;
+
+	static RunRequest of(HttpRequest request) {
+		String remaining = header(request, "Wasabicart-Deadline-Milliseconds");
+		long milliseconds = remaining.isEmpty() ? DEFAULT_DEADLINE_MILLISECONDS : Long.parseLong(remaining);
+		return new RunRequest(request.method().value(), request.getUri().path(),
+				header(request, "Wasabicart-Request-Id"), header(request, "Wasabicart-Kind"),
+				header(request, "Wasabicart-Ticket"), header(request, "Wasabicart-Context"),
+				System.nanoTime() + Duration.ofMillis(milliseconds).toNanos());
+	}
+
+	private static String header(HttpRequest request, String name) {
+		return request.getHeader(name).map(HttpHeader::value).orElse("");
+	}
+
+	boolean expired() {
+		return remainingMilliseconds() <= 0;
+	}
+
+	long remainingMilliseconds() {
+		return Duration.ofNanos(this.deadlineNanoseconds - System.nanoTime()).toMillis();
+	}
+
+}
--- /dev/null
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Model of the platform's backend servers.
+ */
+package org.wasabicart.standin.backend;
--- /dev/null
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/http/StandinSystem.java
@@ -0,0 +1,41 @@
+package org.wasabicart.standin.http;
+
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigFactory;
+import org.apache.pekko.actor.ActorSystem;
+
+/**
+ * Creates the actor system in which a stand-in's HTTP servers run.
+ */
+public final class StandinSystem {
+
+	private StandinSystem() {
+	}
+
+	/**
+	 * Creates an actor system. Requests have no time limit, since a stand-in answers as
+	 * late as its faults demand, and a second request is read while the first runs, since
+	 * a disconnect is noticed only while the connection is read.
+	 * @param name name of the system
+	 * @return the system; the caller terminates it
+	 */
+	public static ActorSystem create(String name) {
+		Config config = ConfigFactory.parseString("""
+				pekko {
+				  loggers = ["org.apache.pekko.event.slf4j.Slf4jLogger"]
+				  logging-filter = "org.apache.pekko.event.slf4j.Slf4jLoggingFilter"
+				  loglevel = "WARNING"
+				  jvm-shutdown-hooks = off
+				  coordinated-shutdown.run-by-jvm-shutdown-hook = off
+				  actor.default-dispatcher.fork-join-executor.parallelism-max = 4
+				  http.server.idle-timeout = infinite
+				  http.server.request-timeout = infinite
+				  http.server.pipelining-limit = 2
+				  http.server.backlog = 1024
+				  http.server.parsing.illegal-header-warnings = off
+				}
+				""").withFallback(ConfigFactory.load());
+		return ActorSystem.create(name, config);
+	}
+
+}
--- /dev/null
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/store/StoreMain.java
@@ -0,0 +1,35 @@
+package org.wasabicart.standin.store;
+
+import java.util.concurrent.CountDownLatch;
+
+import joptsimple.OptionParser;
+import joptsimple.OptionSpec;
+
+import org.wasabicart.standin.http.Addresses;
+
+/**
+ * Runs the store stand-in as a process until it is terminated.
+ */
+public final class StoreMain {
+
+	private StoreMain() {
+	}
+
+	/**
+	 * Starts the store.
+	 * @param arguments {@code --address IP:port}
+	 * @throws Exception if the address cannot be bound
+	 */
+	public static void main(String[] arguments) throws Exception {
+		OptionParser parser = new OptionParser();
+		OptionSpec<String> address = parser.accepts("address", "Address to listen on")
+			.withRequiredArg()
+			.defaultsTo("127.0.0.1:2379");
+		String text = parser.parse(arguments).valueOf(address);
+		try (StoreStandin store = StoreStandin.start(Addresses.parse(text))) {
+			System.out.println("ready " + store.url());
+			new CountDownLatch(1).await();
+		}
+	}
+
+}
--- /dev/null
+++ b/wasabicart-standin/src/test/java/org/wasabicart/standin/backend/BackendServerTests.java
@@ -0,0 +1,149 @@
+package org.wasabicart.standin.backend;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import org.wasabicart.standin.http.AnswerCheck;
+import org.wasabicart.standin.http.Answers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Guards against a backend server model that runs more than it has slots for, hides runs
+ * from the history, or sheds without its documented signal.
+ */
+class BackendServerTests {
+
+	private static final long LONG_SERVICE_MILLISECONDS = 5_000;
+
+	private static final int POLLS = 250;
+
+	private final HttpClient client = HttpClient.newHttpClient();
+
+	@TempDir
+	private Path directory;
+
+	private BackendEnvironment environment;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.environment = new BackendEnvironment(RunHistory.open(this.directory.resolve("history")));
+	}
+
+	@AfterEach
+	void stop() {
+		this.environment.close();
+	}
+
+	@Test
+	void answersWithABodyThatBelongsToTheRequest() throws Exception {
+		BackendServer server = server(2, 4, 1, "", "");
+		HttpResponse<byte[]> response = send(server, "/stock/7", "root-7").get(5, TimeUnit.SECONDS);
+		assertEquals(AnswerCheck.COMPLETE, Answers.check(response.body(), "root-7", "/stock/7"));
+		List<String> lines = history();
+		assertEquals(2, lines.size());
+		assertTrue(lines.get(0).contains("\"event\":\"start\"") && lines.get(0).contains("\"root\":\"root-7\""));
+		assertTrue(lines.get(1).contains("\"result\":\"completed\""));
+	}
+
+	@Test
+	void shedsWithItsSignalWhenAllConnectionsAreInUse() throws Exception {
+		BackendServer server = server(1, 2, LONG_SERVICE_MILLISECONDS, "", "");
+		List<CompletableFuture<HttpResponse<byte[]>>> calls = new ArrayList<>();
+		for (int call = 0; call < 3; call++) {
+			calls.add(send(server, "/a", "root-" + call));
+		}
+		HttpResponse<byte[]> shed = CompletableFuture.anyOf(calls.toArray(CompletableFuture[]::new))
+			.thenApply((first) -> calls.stream().filter(CompletableFuture::isDone).findFirst().orElseThrow().join())
+			.get(5, TimeUnit.SECONDS);
+		assertEquals(503, shed.statusCode());
+		assertEquals("not-run", shed.headers().firstValue("Wasabicart-Shed").orElseThrow());
+		assertEquals(1, history().stream().filter((line) -> line.contains("\"start\"")).count());
+	}
+
+	@Test
+	void cancelsARunWhenTheClientDisconnects() throws Exception {
+		BackendServer server = server(1, 2, LONG_SERVICE_MILLISECONDS, "", "");
+		CompletableFuture<HttpResponse<byte[]>> call = send(server, "/a", "root-1");
+		awaitLine("\"start\"");
+		call.cancel(true);
+		awaitLine("\"cancelled\"");
+		assertTrue(server.idle());
+	}
+
+	@Test
+	void cancelsARunByItsContext() throws Exception {
+		BackendServer server = server(1, 2, LONG_SERVICE_MILLISECONDS, "", "");
+		HttpRequest request = request(server, "/a", "root-1").header("Wasabicart-Context", "c1").build();
+		this.client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
+		awaitLine("\"start\"");
+		this.client.send(request(server, "/wasabicart/cancel/c1", "x").DELETE().build(),
+				HttpResponse.BodyHandlers.discarding());
+		awaitLine("\"cancelled\"");
+	}
+
+	@Test
+	void callsOtherServicesThroughItsNodeWithTheContext() throws Exception {
+		// The deeper server stands in for the node, since a node answers as it does.
+		BackendServer deeper = server(2, 4, 1, "", "");
+		BackendServer server = server(2, 4, 1, "http://127.0.0.1:" + deeper.address().getPort(), "quoting");
+		HttpResponse<byte[]> response = send(server, "/a", "").get(5, TimeUnit.SECONDS);
+		assertEquals(200, response.statusCode());
+		assertTrue(history().stream().anyMatch((line) -> line.contains("\"path\":\"/quoting/a\"")));
+	}
+
+	@Test
+	void drainsWithoutInterruptingARun() throws Exception {
+		BackendServer server = server(1, 2, 200, "", "");
+		CompletableFuture<HttpResponse<byte[]>> call = send(server, "/a", "root-1");
+		awaitLine("\"start\"");
+		server.drain();
+		assertEquals(503, send(server, "/b", "root-2").get(5, TimeUnit.SECONDS).statusCode());
+		assertEquals(200, call.get(5, TimeUnit.SECONDS).statusCode());
+	}
+
+	private BackendServer server(int slots, int connections, double serviceMilliseconds, String node, String calls) {
+		return BackendServer.start(this.environment,
+				new BackendConfiguration("stock", new InetSocketAddress("127.0.0.1", 0), node, slots, connections,
+						serviceMilliseconds, 0, BackendConfiguration.parseCalls(calls), 300, 0, 0, 1, 1));
+	}
+
+	private CompletableFuture<HttpResponse<byte[]>> send(BackendServer server, String path, String root) {
+		return this.client.sendAsync(request(server, path, root).build(), HttpResponse.BodyHandlers.ofByteArray());
+	}
+
+	private HttpRequest.Builder request(BackendServer server, String path, String root) {
+		return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + server.address().getPort() + path))
+			.header("Wasabicart-Request-Id", root);
+	}
+
+	private List<String> history() throws Exception {
+		return Files.readAllLines(this.directory.resolve("history"));
+	}
+
+	private void awaitLine(String text) throws Exception {
+		for (int poll = 0; poll < POLLS; poll++) {
+			if (history().stream().anyMatch((line) -> line.contains(text))) {
+				return;
+			}
+			Thread.sleep(20);
+		}
+		throw new AssertionError("No line with " + text + " in " + history());
+	}
+
+}
