--- a/wasabicart-standin/src/test/java/org/wasabicart/standin/backend/BackendServerTests.java
+++ b/wasabicart-standin/src/test/java/org/wasabicart/standin/backend/BackendServerTests.java
@@ -20,8 +20,7 @@
 import org.wasabicart.standin.http.AnswerCheck;
 import org.wasabicart.standin.http.Answers;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.assertj.core.api.Assertions.assertThat;
 
 /**
  * Guards against a backend server model that runs more than it has slots for, hides runs
@@ -54,11 +53,12 @@
 	void answersWithABodyThatBelongsToTheRequest() throws Exception {
 		BackendServer server = server(2, 4, 1, "", "");
 		HttpResponse<byte[]> response = send(server, "/stock/7", "root-7").get(5, TimeUnit.SECONDS);
-		assertEquals(AnswerCheck.COMPLETE, Answers.check(response.body(), "root-7", "/stock/7"));
+		assertThat(Answers.check(response.body(), "root-7", "/stock/7")).isEqualTo(AnswerCheck.COMPLETE);
 		List<String> lines = history();
-		assertEquals(2, lines.size());
-		assertTrue(lines.get(0).contains("\"event\":\"start\"") && lines.get(0).contains("\"root\":\"root-7\""));
-		assertTrue(lines.get(1).contains("\"result\":\"completed\""));
+		assertThat(lines.size()).isEqualTo(2);
+		assertThat(lines.get(0).contains("\"event\":\"start\"") && lines.get(0).contains("\"root\":\"root-7\""))
+			.isTrue();
+		assertThat(lines.get(1).contains("\"result\":\"completed\"")).isTrue();
 	}
 
 	@Test
@@ -71,9 +71,9 @@
 		HttpResponse<byte[]> shed = CompletableFuture.anyOf(calls.toArray(CompletableFuture[]::new))
 			.thenApply((first) -> calls.stream().filter(CompletableFuture::isDone).findFirst().orElseThrow().join())
 			.get(5, TimeUnit.SECONDS);
-		assertEquals(503, shed.statusCode());
-		assertEquals("not-run", shed.headers().firstValue("Wasabicart-Shed").orElseThrow());
-		assertEquals(1, history().stream().filter((line) -> line.contains("\"start\"")).count());
+		assertThat(shed.statusCode()).isEqualTo(503);
+		assertThat(shed.headers().firstValue("Wasabicart-Shed").orElseThrow()).isEqualTo("not-run");
+		assertThat(history().stream().filter((line) -> line.contains("\"start\"")).count()).isEqualTo(1);
 	}
 
 	@Test
@@ -83,7 +83,7 @@
 		awaitLine("\"start\"");
 		call.cancel(true);
 		awaitLine("\"cancelled\"");
-		assertTrue(server.idle());
+		assertThat(server.idle()).isTrue();
 	}
 
 	@Test
@@ -103,8 +103,8 @@
 		BackendServer deeper = server(2, 4, 1, "", "");
 		BackendServer server = server(2, 4, 1, "http://127.0.0.1:" + deeper.address().getPort(), "quoting");
 		HttpResponse<byte[]> response = send(server, "/a", "").get(5, TimeUnit.SECONDS);
-		assertEquals(200, response.statusCode());
-		assertTrue(history().stream().anyMatch((line) -> line.contains("\"path\":\"/quoting/a\"")));
+		assertThat(response.statusCode()).isEqualTo(200);
+		assertThat(history().stream().anyMatch((line) -> line.contains("\"path\":\"/quoting/a\""))).isTrue();
 	}
 
 	@Test
@@ -113,8 +113,8 @@
 		CompletableFuture<HttpResponse<byte[]>> call = send(server, "/a", "root-1");
 		awaitLine("\"start\"");
 		server.drain();
-		assertEquals(503, send(server, "/b", "root-2").get(5, TimeUnit.SECONDS).statusCode());
-		assertEquals(200, call.get(5, TimeUnit.SECONDS).statusCode());
+		assertThat(send(server, "/b", "root-2").get(5, TimeUnit.SECONDS).statusCode()).isEqualTo(503);
+		assertThat(call.get(5, TimeUnit.SECONDS).statusCode()).isEqualTo(200);
 	}
 
 	private BackendServer server(int slots, int connections, double serviceMilliseconds, String node, String calls) {
