--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
@@ -0,0 +1,56 @@
+package org.wasabicart.experiment;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Experiments that the command line offers.
+ */
+public final class ExperimentRegistry {
+
+	private final Map<String, Experiment> experiments = new LinkedHashMap<>();
+
+	/**
+	 * Creates a registry.
+	 * @param experiments experiments in the order of the help text
+	 */
+	public ExperimentRegistry(Collection<Experiment> experiments) {
+		for (Experiment experiment : experiments) {
+			if (this.experiments.put(experiment.name(), experiment) != null) {
+				throw new IllegalArgumentException("Two experiments have the same name: " + experiment.name());
+			}
+		}
+	}
+
+	/**
+	 * Returns the registry of the project's experiments.
+	 * @return the registry
+	 */
+	public static ExperimentRegistry standard() {
+		List<Experiment> experiments = new ArrayList<>();
+		return new ExperimentRegistry(experiments);
+	}
+
+	/**
+	 * Returns all experiments.
+	 * @return the experiments in the order of the help text
+	 */
+	public Collection<Experiment> all() {
+		return Collections.unmodifiableCollection(this.experiments.values());
+	}
+
+	/**
+	 * Finds an experiment.
+	 * @param name name on the command line
+	 * @return the experiment, or empty if there is none of this name
+	 */
+	public Optional<Experiment> find(String name) {
+		return Optional.ofNullable(this.experiments.get(name));
+	}
+
+}
