--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/LocalServerHolder.java
@@ -0,0 +1,123 @@
+package org.wasabicart.node;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import org.wasabicart.core.Ticker;
+import org.wasabicart.core.model.MemberState;
+
+/**
+ * Holds the announcement of the local backend server, and the state that this node
+ * announces to its peers. Safe for use by several threads.
+ */
+public final class LocalServerHolder {
+
+	/**
+	 * Time after which an announcement that was not repeated has lapsed. Backend servers
+	 * repeat it every second, so three repeats are missed.
+	 */
+	public static final Duration ANNOUNCEMENT_LIFETIME = Duration.ofMillis(3500);
+
+	private final List<LocalServerListener> listeners = new CopyOnWriteArrayList<>();
+
+	private final Ticker ticker;
+
+	private volatile LocalServer server;
+
+	private volatile boolean draining;
+
+	private long announcedNanoseconds;
+
+	/**
+	 * Creates a holder without an announcement.
+	 * @param ticker clock for the lapse of announcements
+	 */
+	public LocalServerHolder(Ticker ticker) {
+		this.ticker = Objects.requireNonNull(ticker, "ticker");
+	}
+
+	/**
+	 * Returns the announced backend server.
+	 * @return the server, or empty if none has announced itself or the announcement has
+	 * lapsed
+	 */
+	public Optional<LocalServer> server() {
+		return Optional.ofNullable(this.server);
+	}
+
+	/**
+	 * Returns the state to announce: draining once the node drains, starting while there
+	 * is no backend server, and the backend server's state otherwise.
+	 * @return the state
+	 */
+	public MemberState state() {
+		if (this.draining) {
+			return MemberState.DRAINING;
+		}
+		LocalServer current = this.server;
+		return (current != null) ? current.state() : MemberState.STARTING;
+	}
+
+	/**
+	 * Returns whether this node itself drains.
+	 * @return whether {@link #drain()} was invoked
+	 */
+	public boolean draining() {
+		return this.draining;
+	}
+
+	/**
+	 * Records an announcement or its repetition.
+	 * @param announced backend server
+	 */
+	public void announce(LocalServer announced) {
+		Objects.requireNonNull(announced, "announced");
+		boolean changed;
+		synchronized (this) {
+			this.announcedNanoseconds = this.ticker.nanoseconds();
+			changed = !announced.equals(this.server);
+			this.server = announced;
+		}
+		if (changed) {
+			notifyListeners();
+		}
+	}
+
+	/**
+	 * Removes an announcement that has lapsed. To be called about once per second.
+	 */
+	public void tick() {
+		synchronized (this) {
+			long age = this.ticker.nanoseconds() - this.announcedNanoseconds;
+			if (this.server == null || age < ANNOUNCEMENT_LIFETIME.toNanos()) {
+				return;
+			}
+			this.server = null;
+		}
+		notifyListeners();
+	}
+
+	/**
+	 * Lets the node drain. It does not return to serving.
+	 */
+	public void drain() {
+		this.draining = true;
+		notifyListeners();
+	}
+
+	/**
+	 * Adds a listener for later changes.
+	 * @param listener listener
+	 */
+	public void addListener(LocalServerListener listener) {
+		this.listeners.add(Objects.requireNonNull(listener, "listener"));
+	}
+
+	private void notifyListeners() {
+		this.listeners.forEach(LocalServerListener::changed);
+	}
+
+}
