--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
@@ -0,0 +1,240 @@
+package org.wasabicart.node;
+
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigFactory;
+import org.apache.pekko.actor.ActorSystem;
+import org.jboss.logging.Logger;
+
+import org.wasabicart.core.model.Execution;
+import org.wasabicart.node.http.NodeHttpServers;
+import org.wasabicart.node.http.PekkoBackendExit;
+import org.wasabicart.node.peer.CallHandler;
+import org.wasabicart.node.peer.PeerTransport;
+import org.wasabicart.node.request.AdmissionHandler;
+import org.wasabicart.node.request.BoundedRetryPolicy;
+import org.wasabicart.node.request.ContextTable;
+import org.wasabicart.node.request.DeadlineFilter;
+import org.wasabicart.node.request.EarlyRefusalFilter;
+import org.wasabicart.node.request.ExecutorTaskScheduler;
+import org.wasabicart.node.request.LocalAdmission;
+import org.wasabicart.node.request.PlainRetryPolicy;
+import org.wasabicart.node.request.RequestFilter;
+import org.wasabicart.node.request.RetryPolicy;
+import org.wasabicart.node.request.RootAllowances;
+import org.wasabicart.node.request.RoutingHandler;
+import org.wasabicart.node.settings.ControlMode;
+
+/**
+ * One node: composes the request path from its parts, and starts and stops it. Links and
+ * membership join as {@link NodeService}s.
+ */
+public final class Node implements AutoCloseable {
+
+	private static final Logger LOGGER = Logger.getLogger(Node.class);
+
+	private static final long ADMISSION_TICK_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(5);
+
+	private static final long ANNOUNCEMENT_TICK_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(250);
+
+	/** Request ids of clients that are remembered for their retry allowance. */
+	private static final int REMEMBERED_REQUESTS = 4096;
+
+	/**
+	 * Shortest time between the announcement of draining and the end of the process, in
+	 * which peers learn of it.
+	 */
+	private static final Duration DRAINING_NOTICE = Duration.ofMillis(500);
+
+	private static final long DRAINING_POLL_MILLISECONDS = 20;
+
+	private final List<NodeService> services = new ArrayList<>();
+
+	private final PeerTransportSlot transport = new PeerTransportSlot();
+
+	private final ExecutorTaskScheduler scheduler = new ExecutorTaskScheduler();
+
+	private final NodeParts parts;
+
+	private final ActorSystem system;
+
+	private final LocalAdmission admission;
+
+	private final PekkoBackendExit exit;
+
+	private final CallHandler serving;
+
+	private final CallHandler entry;
+
+	private final NodeHttpServers servers;
+
+	private boolean closed;
+
+	/**
+	 * Composes a node without starting it.
+	 * @param parts parts
+	 */
+	public Node(NodeParts parts) {
+		this.parts = Objects.requireNonNull(parts, "parts");
+		Config configuration = ConfigFactory.parseResources(Node.class, "node.conf").withFallback(ConfigFactory.load());
+		this.system = ActorSystem.create("node", configuration);
+		Decisions decisions = parts.decisions();
+		ContextTable contexts = new ContextTable(new SecureRandom(), decisions.allowances(), parts.ticker());
+		this.admission = new LocalAdmission(parts.configuration(), parts.localServer(), decisions.admission());
+		this.exit = new PekkoBackendExit(this.system, parts.ticker(), this.scheduler, contexts,
+				NodeHttpServers.BODY_LIMIT_BYTES);
+		this.serving = servingSide();
+		this.entry = entrySide();
+		RootAllowances allowances = new RootAllowances(REMEMBERED_REQUESTS, decisions.allowances());
+		this.servers = new NodeHttpServers(this.system, parts.ticker(), parts.random(), parts.configuration(),
+				parts.localServer(), contexts, allowances, this.entry, (request) -> Optional.empty());
+	}
+
+	private CallHandler servingSide() {
+		AdmissionHandler last = new AdmissionHandler(this.parts.ticker(), this.parts.localServer(), this.admission,
+				this.exit);
+		return RequestFilter.chain(this.parts.servingFilters(), last);
+	}
+
+	private CallHandler entrySide() {
+		RoutingHandler last = new RoutingHandler(this.parts.settings().nodeId(), this.parts.ticker(), this.scheduler,
+				this.parts.configuration(), this.parts.decisions().router(), retryPolicy(), this.transport,
+				this.serving);
+		List<RequestFilter> filters = new ArrayList<>();
+		filters.add(new DeadlineFilter(this.parts.ticker(), this.scheduler));
+		filters.add(new EarlyRefusalFilter(this.parts.decisions().earlyRefusal()));
+		filters.addAll(this.parts.entryFilters());
+		return RequestFilter.chain(filters, last);
+	}
+
+	private RetryPolicy retryPolicy() {
+		Decisions decisions = this.parts.decisions();
+		if (this.parts.settings().control() != ControlMode.WASABICART) {
+			return new PlainRetryPolicy(this.parts.configuration(), decisions.allowances());
+		}
+		return new BoundedRetryPolicy(this.parts.configuration(), decisions.allowances(), decisions.budgets(),
+				this.parts.random());
+	}
+
+	/**
+	 * Returns the handler for calls that arrive from peers.
+	 * @return the serving side, or the entry side for calls to a ticket's home node
+	 */
+	public CallHandler peerHandler() {
+		return (request, listener) -> {
+			boolean home = request.toHome() && request.context().execution() == Execution.ORDER;
+			return (home ? this.entry : this.serving).handle(request, listener);
+		};
+	}
+
+	/**
+	 * Sets the transport to peers. To be invoked before {@link #start()}.
+	 * @param peers transport
+	 */
+	public void connect(PeerTransport peers) {
+		this.transport.fill(Objects.requireNonNull(peers, "peers"));
+	}
+
+	/**
+	 * Returns the transport to peers, which is usable once {@link #connect} was invoked.
+	 * @return the transport
+	 */
+	public PeerTransport transport() {
+		return this.transport;
+	}
+
+	/**
+	 * Adds a service that starts and stops with the node. To be invoked before
+	 * {@link #start()}.
+	 * @param service service
+	 */
+	public void addService(NodeService service) {
+		this.services.add(Objects.requireNonNull(service, "service"));
+	}
+
+	/**
+	 * Returns the node's actor system, for other HTTP clients in this process.
+	 * @return the actor system
+	 */
+	public ActorSystem system() {
+		return this.system;
+	}
+
+	/**
+	 * Starts the services and then the HTTP servers.
+	 * @throws IOException if an address cannot be bound
+	 */
+	public void start() throws IOException {
+		this.scheduler.repeat(ADMISSION_TICK_NANOSECONDS, this.admission::tick);
+		this.scheduler.repeat(ANNOUNCEMENT_TICK_NANOSECONDS, this.parts.localServer()::tick);
+		for (NodeService service : this.services) {
+			service.start();
+		}
+		this.servers.start(this.parts.settings().httpAddress(), this.parts.settings().localHttpAddress());
+		LOGGER.infof("event=node-started node=%s instance=%s http=%s", this.parts.settings().nodeId(),
+				this.parts.instance(), this.parts.settings().httpAddress());
+	}
+
+	/**
+	 * Stops gracefully: announces draining, refuses new work as not run, and waits until
+	 * the work in progress has ended or the grace time has passed.
+	 */
+	@Override
+	public void close() {
+		synchronized (this) {
+			if (this.closed) {
+				return;
+			}
+			this.closed = true;
+		}
+		this.parts.localServer().drain();
+		awaitIdle();
+		this.servers.unbind();
+		for (int index = this.services.size() - 1; index >= 0; index--) {
+			this.services.get(index).close();
+		}
+		this.scheduler.close();
+		this.system.terminate();
+		try {
+			this.system.getWhenTerminated().toCompletableFuture().get(5, TimeUnit.SECONDS);
+		}
+		catch (Exception ex) {
+			LOGGER.warnf("event=stop-incomplete reason=%s", ex);
+		}
+	}
+
+	private void awaitIdle() {
+		long start = this.parts.ticker().nanoseconds();
+		long grace = this.parts.settings().grace().toNanos();
+		long notice = Math.min(grace, DRAINING_NOTICE.toNanos());
+		long elapsed = 0;
+		while (elapsed < notice || (elapsed < grace && running() > 0)) {
+			try {
+				Thread.sleep(DRAINING_POLL_MILLISECONDS);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return;
+			}
+			elapsed = this.parts.ticker().nanoseconds() - start;
+		}
+		LOGGER.infof("event=drained running=%d milliseconds=%d", running(), TimeUnit.NANOSECONDS.toMillis(elapsed));
+	}
+
+	/**
+	 * Returns the work in progress.
+	 * @return requests of callers and calls of the local backend server
+	 */
+	public int running() {
+		return this.servers.running() + this.exit.running();
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/NodeParts.java
@@ -0,0 +1,46 @@
+package org.wasabicart.node;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+import org.wasabicart.core.Ticker;
+import org.wasabicart.core.model.InstanceNumber;
+import org.wasabicart.node.request.RequestFilter;
+import org.wasabicart.node.settings.NodeSettings;
+
+/**
+ * What a node is composed of, besides the request path itself.
+ *
+ * @param settings checked settings
+ * @param instance number of this run of the process
+ * @param ticker monotonic clock
+ * @param random random source for jitter and choices
+ * @param configuration configuration in force
+ * @param localServer announced backend server
+ * @param decisions decision objects
+ * @param entryFilters filters on the entry side before routing, such as the home node's
+ * order handling
+ * @param servingFilters filters on the serving side before admission, such as the serving
+ * node's ticket table
+ */
+public record NodeParts(NodeSettings settings, InstanceNumber instance, Ticker ticker, RandomGenerator random,
+		ConfigurationHolder configuration, LocalServerHolder localServer, Decisions decisions,
+		List<RequestFilter> entryFilters, List<RequestFilter> servingFilters) {
+
+	public NodeParts {
+		entryFilters = List.copyOf(entryFilters);
+		servingFilters = List.copyOf(servingFilters);
+	}
+
+	/**
+	 * Returns these parts with other filters.
+	 * @param entry filters on the entry side
+	 * @param serving filters on the serving side
+	 * @return the parts
+	 */
+	public NodeParts withFilters(List<RequestFilter> entry, List<RequestFilter> serving) {
+		return new NodeParts(this.settings, this.instance, this.ticker, this.random, this.configuration,
+				this.localServer, this.decisions, entry, serving);
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/PeerTransportSlot.java
@@ -0,0 +1,51 @@
+package org.wasabicart.node;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import org.wasabicart.core.model.NodeAddress;
+import org.wasabicart.core.model.Outcome;
+import org.wasabicart.core.model.RefusalReason;
+import org.wasabicart.node.peer.CallRequest;
+import org.wasabicart.node.peer.CallResponse;
+import org.wasabicart.node.peer.PeerCall;
+import org.wasabicart.node.peer.PeerCallListener;
+import org.wasabicart.node.peer.PeerTransport;
+import org.wasabicart.wire.generated.link.ControlRequest;
+import org.wasabicart.wire.generated.link.ControlResponse;
+
+/**
+ * Transport that is filled in after the request path is built, since the transport itself
+ * needs the request path as its handler. Until then all peers are unreachable.
+ */
+final class PeerTransportSlot implements PeerTransport {
+
+	private volatile PeerTransport transport;
+
+	void fill(PeerTransport filled) {
+		this.transport = filled;
+	}
+
+	@Override
+	public PeerCall send(NodeAddress address, CallRequest request, PeerCallListener listener) {
+		PeerTransport current = this.transport;
+		if (current != null) {
+			return current.send(address, request, listener);
+		}
+		listener.finished(CallResponse.withoutBody(new Outcome.Refused(RefusalReason.UNREACHABLE, Duration.ZERO),
+				request.context().retryAllowance()));
+		return () -> {
+		};
+	}
+
+	@Override
+	public CompletableFuture<ControlResponse> ask(NodeAddress address, ControlRequest request, Duration timeout) {
+		PeerTransport current = this.transport;
+		if (current != null) {
+			return current.ask(address, request, timeout);
+		}
+		return CompletableFuture.failedFuture(new IOException("There is no transport to " + address));
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/baseline/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Simple decisions: baselines for comparison in experiments.
+ */
+package org.wasabicart.node.baseline;
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/http/BackendCall.java
@@ -0,0 +1,257 @@
+package org.wasabicart.node.http;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.UnaryOperator;
+
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpMethods;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.stream.BufferOverflowException;
+import org.apache.pekko.stream.StreamTcpException;
+
+import org.wasabicart.core.admission.CallSample;
+import org.wasabicart.core.model.Execution;
+import org.wasabicart.core.model.FailureReason;
+import org.wasabicart.core.model.Outcome;
+import org.wasabicart.core.model.RefusalReason;
+import org.wasabicart.node.peer.CallRequest;
+import org.wasabicart.node.peer.CallResponse;
+import org.wasabicart.node.peer.HttpHeaderField;
+import org.wasabicart.node.peer.PeerCall;
+import org.wasabicart.node.request.BackendListener;
+import org.wasabicart.node.request.RunningContext;
+import org.wasabicart.node.request.TaskScheduler;
+
+/**
+ * One call to the local backend server.
+ */
+final class BackendCall implements PeerCall {
+
+	/**
+	 * Time that an order may run past its deadline, for its result to be kept.
+	 */
+	private static final Duration ORDER_OVERRUN = Duration.ofSeconds(60);
+
+	/** Time that a cancelled call keeps its permit if the backend server is silent. */
+	private static final Duration CANCELLED_OVERRUN = Duration.ofSeconds(2);
+
+	private static final byte[] NO_BODY = {};
+
+	private final AtomicBoolean responded = new AtomicBoolean();
+
+	private final AtomicBoolean ended = new AtomicBoolean();
+
+	private final PekkoBackendExit exit;
+
+	private final PekkoBackendExit.Pool pool;
+
+	private final CallRequest request;
+
+	private final RunningContext running;
+
+	private final BackendListener listener;
+
+	private final long startNanoseconds;
+
+	private volatile TaskScheduler.ScheduledTask timer;
+
+	BackendCall(PekkoBackendExit exit, PekkoBackendExit.Pool pool, CallRequest request, RunningContext running,
+			BackendListener listener) {
+		this.exit = exit;
+		this.pool = pool;
+		this.request = request;
+		this.running = running;
+		this.listener = listener;
+		this.startNanoseconds = exit.ticker().nanoseconds();
+	}
+
+	void start() {
+		long remaining = this.request.context().remainingNanoseconds(this.startNanoseconds);
+		long longest = order() ? remaining + ORDER_OVERRUN.toNanos() : remaining;
+		this.timer = this.exit.scheduler().schedule(longest, () -> abandon(FailureReason.TIMEOUT));
+		HttpRequest http = httpRequest(remaining);
+		if (http == null) {
+			respond(new Outcome.Refused(RefusalReason.BAD_REQUEST, Duration.ZERO), List.of(), NO_BODY);
+			end(CallSample.Result.IGNORED);
+			return;
+		}
+		long bodyMilliseconds = Math.max(1, TimeUnit.NANOSECONDS.toMillis(longest));
+		this.exit.send(this.pool, http)
+			.thenCompose((response) -> read(response, bodyMilliseconds))
+			.whenComplete(this::completed);
+	}
+
+	private boolean order() {
+		return this.request.context().execution() == Execution.ORDER;
+	}
+
+	private HttpRequest httpRequest(long remainingNanoseconds) {
+		List<HttpHeader> headers = new ArrayList<>();
+		String type = null;
+		for (HttpHeaderField field : this.request.headers()) {
+			if (field.name().equalsIgnoreCase(HeaderNames.CONTENT_TYPE)) {
+				type = field.value();
+			}
+			else {
+				headers.add(RawHeader.create(field.name(), field.value()));
+			}
+		}
+		headers.add(RawHeader.create(HeaderNames.CONTEXT, this.running.handle()));
+		headers.add(RawHeader.create(HeaderNames.REQUEST_ID, this.request.context().root().value()));
+		headers.add(RawHeader.create(HeaderNames.KIND, this.request.context().kind().value()));
+		headers.add(RawHeader.create(HeaderNames.TENANT, this.request.context().tenant().value()));
+		headers.add(RawHeader.create(HeaderNames.DEADLINE,
+				Long.toString(TimeUnit.NANOSECONDS.toMillis(remainingNanoseconds))));
+		this.request.ticket().ifPresent((ticket) -> headers.add(RawHeader.create(HeaderNames.TICKET, ticket)));
+		return HttpMethods.lookup(this.request.method()).map((method) -> {
+			HttpRequest http = HttpRequest.create(this.pool.base() + this.request.path()).withMethod(method);
+			return http.addHeaders(headers);
+		}).map(withBody(type)).orElse(null);
+	}
+
+	private UnaryOperator<HttpRequest> withBody(String type) {
+		if (this.request.body().length == 0) {
+			return (http) -> http;
+		}
+		return (http) -> http.withEntity(HttpEntities.create(
+				(type != null) ? ResponseWriter.contentType(type) : ContentTypes.APPLICATION_OCTET_STREAM,
+				this.request.body()));
+	}
+
+	private CompletionStage<Answer> read(HttpResponse response, long bodyMilliseconds) {
+		return response.entity()
+			.toStrict(bodyMilliseconds, this.exit.bodyLimit(), this.exit.materializer())
+			.handle((body, fault) -> new Answer(response, (fault != null) ? null : body.getData().toArray()));
+	}
+
+	private void completed(Answer answer, Throwable fault) {
+		if (fault != null) {
+			sendFault((fault instanceof CompletionException && fault.getCause() != null) ? fault.getCause() : fault);
+		}
+		else if (answer.body() == null) {
+			respond(new Outcome.Failed(FailureReason.INCOMPLETE_ANSWER, this.running.nestedFailed()), List.of(),
+					NO_BODY);
+			end(CallSample.Result.FAILED);
+		}
+		else {
+			answered(answer);
+		}
+	}
+
+	private void sendFault(Throwable fault) {
+		if (neverSent(fault)) {
+			respond(new Outcome.Refused(RefusalReason.NO_BACKEND_SERVER, Duration.ofMillis(500)), List.of(), NO_BODY);
+			end(CallSample.Result.IGNORED);
+			return;
+		}
+		respond(order() ? new Outcome.Unknown(FailureReason.CONNECTION_LOST)
+				: new Outcome.Failed(FailureReason.CONNECTION_LOST, this.running.nestedFailed()), List.of(), NO_BODY);
+		end(CallSample.Result.FAILED);
+	}
+
+	// Returns whether no byte of the request was sent: the connection could not be
+	// opened, or the pool's queue was full. Any other fault may have come later.
+	private static boolean neverSent(Throwable fault) {
+		if (fault instanceof BufferOverflowException) {
+			return true;
+		}
+		return fault instanceof StreamTcpException
+				&& String.valueOf(fault.getMessage()).startsWith("Tcp command [Connect(");
+	}
+
+	private void answered(Answer answer) {
+		int status = answer.response().status().intValue();
+		if (shed(answer.response())) {
+			respond(new Outcome.Refused(RefusalReason.SHED, Duration.ofMillis(100)), List.of(), NO_BODY);
+			end(CallSample.Result.SHED);
+		}
+		else if (status == 500 || status >= 502 && status <= 504) {
+			respond(new Outcome.Failed(FailureReason.BACKEND_ERROR, this.running.nestedFailed()), List.of(), NO_BODY);
+			end(this.running.nestedFailed() ? CallSample.Result.IGNORED : CallSample.Result.FAILED);
+		}
+		else {
+			respond(new Outcome.Completed(status), passedThrough(answer.response()), answer.body());
+			end(CallSample.Result.RESPONDED);
+		}
+	}
+
+	private static boolean shed(HttpResponse response) {
+		return response.status().intValue() == 503 && response.getHeader(HeaderNames.SHED)
+			.filter((header) -> header.value().strip().equals("not-run"))
+			.isPresent();
+	}
+
+	private static List<HttpHeaderField> passedThrough(HttpResponse response) {
+		List<HttpHeaderField> fields = new ArrayList<>();
+		for (HttpHeader header : response.getHeaders()) {
+			if (HeaderNames.passesThrough(header.name())) {
+				fields.add(new HttpHeaderField(header.name(), header.value()));
+			}
+		}
+		fields.add(new HttpHeaderField(HeaderNames.CONTENT_TYPE, response.entity().getContentType().toString()));
+		return fields;
+	}
+
+	/**
+	 * Cancels the call, unless it is an order, which has started.
+	 */
+	@Override
+	public void cancel() {
+		if (!order()) {
+			abandon(FailureReason.CANCELLED);
+		}
+	}
+
+	private void abandon(FailureReason reason) {
+		boolean first = respond(
+				order() ? new Outcome.Unknown(reason) : new Outcome.Failed(reason, this.running.nestedFailed()),
+				List.of(), NO_BODY);
+		if (first && !this.ended.get()) {
+			this.timer = this.exit.scheduler()
+				.schedule(CANCELLED_OVERRUN.toNanos(), () -> end(CallSample.Result.FAILED));
+			HttpRequest cancellation = HttpRequest
+				.DELETE(this.pool.base() + "/wasabicart/cancel/" + this.running.handle());
+			this.exit.send(this.pool, cancellation).whenComplete((response, fault) -> {
+				if (response != null) {
+					response.discardEntityBytes(this.exit.materializer());
+				}
+			});
+		}
+	}
+
+	private boolean respond(Outcome outcome, List<HttpHeaderField> headers, byte[] body) {
+		if (!this.responded.compareAndSet(false, true)) {
+			return false;
+		}
+		this.timer.cancel();
+		this.exit.contexts().close(this.running);
+		int unspent = (outcome instanceof Outcome.Refused) ? this.request.context().retryAllowance()
+				: this.running.allowance().available();
+		this.listener.responded(new CallResponse(outcome, unspent, this.running.thresholds(), headers, body));
+		return true;
+	}
+
+	private void end(CallSample.Result result) {
+		if (this.ended.compareAndSet(false, true)) {
+			this.timer.cancel();
+			this.exit.ended();
+			long elapsed = this.exit.ticker().nanoseconds() - this.startNanoseconds;
+			this.listener.ended(new CallSample(Math.max(0, elapsed - this.running.nestedNanoseconds()), result));
+		}
+	}
+
+	private record Answer(HttpResponse response, byte[] body) {
+
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/http/CallRunner.java
@@ -0,0 +1,139 @@
+package org.wasabicart.node.http;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.Connection;
+import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
+import org.apache.pekko.stream.Materializer;
+
+import org.wasabicart.core.model.RefusalReason;
+import org.wasabicart.node.peer.CallHandler;
+import org.wasabicart.node.peer.CallRequest;
+import org.wasabicart.node.peer.CallResponse;
+import org.wasabicart.node.peer.PeerCall;
+import org.wasabicart.node.peer.PeerCallListener;
+
+/**
+ * Reads bodies, runs calls through a chain, and writes the responses.
+ */
+final class CallRunner {
+
+	/** Time in which a request's whole body has to arrive. */
+	private static final Duration BODY_TIMEOUT = Duration.ofSeconds(5);
+
+	private static final int REQUEST_TIMEOUT = 408;
+
+	private static final int CONTENT_TOO_LARGE = 413;
+
+	private final AtomicInteger running = new AtomicInteger();
+
+	private final Materializer materializer;
+
+	private final ResponseWriter writer;
+
+	private final long bodyLimit;
+
+	CallRunner(Materializer materializer, ResponseWriter writer, long bodyLimit) {
+		this.materializer = materializer;
+		this.writer = writer;
+		this.bodyLimit = bodyLimit;
+	}
+
+	/**
+	 * Returns the number of requests in progress.
+	 * @return requests whose response is not yet handed to the HTTP server
+	 */
+	int running() {
+		return this.running.get();
+	}
+
+	/**
+	 * Reads the body and runs a call.
+	 * @param http request over HTTP
+	 * @param scope connection that it came on
+	 * @param call call without its body
+	 * @param handler chain to run
+	 * @return the HTTP response
+	 */
+	CompletionStage<HttpResponse> run(HttpRequest http, ConnectionScope scope, CallRequest call, CallHandler handler) {
+		this.running.incrementAndGet();
+		return http.entity()
+			.toStrict(BODY_TIMEOUT.toMillis(), this.bodyLimit, this.materializer)
+			.thenCompose((body) -> run(withBody(call, body.getData().toArray()), scope, handler))
+			.exceptionally(this::bodyFault)
+			.whenComplete((response, fault) -> this.running.decrementAndGet());
+	}
+
+	private CompletionStage<HttpResponse> run(CallRequest call, ConnectionScope scope, CallHandler handler) {
+		CompletableFuture<HttpResponse> response = new CompletableFuture<>();
+		Running running = new Running(call, scope, response);
+		running.start(handler);
+		return response;
+	}
+
+	private static CallRequest withBody(CallRequest call, byte[] body) {
+		return new CallRequest(call.context(), call.service(), call.ticket(), call.toHome(), call.method(), call.path(),
+				call.headers(), body);
+	}
+
+	private HttpResponse bodyFault(Throwable fault) {
+		Throwable cause = (fault instanceof CompletionException && fault.getCause() != null) ? fault.getCause() : fault;
+		int status = ResponseWriter.BAD_REQUEST;
+		if (cause instanceof EntityStreamSizeException) {
+			status = CONTENT_TOO_LARGE;
+		}
+		else if (cause instanceof TimeoutException) {
+			status = REQUEST_TIMEOUT;
+		}
+		// What is left of the body must not be read as the next request.
+		return this.writer.refusal(status, RefusalReason.BAD_REQUEST, Duration.ZERO)
+			.addHeader(Connection.create("close"));
+	}
+
+	private final class Running implements PeerCallListener, PeerCall {
+
+		private final CallRequest call;
+
+		private final ConnectionScope scope;
+
+		private final CompletableFuture<HttpResponse> response;
+
+		private volatile PeerCall downstream;
+
+		Running(CallRequest call, ConnectionScope scope, CompletableFuture<HttpResponse> response) {
+			this.call = call;
+			this.scope = scope;
+			this.response = response;
+		}
+
+		void start(CallHandler handler) {
+			this.downstream = handler.handle(this.call, this);
+			if (!this.response.isDone()) {
+				this.scope.add(this);
+			}
+			if (this.response.isDone()) {
+				this.scope.remove(this);
+			}
+		}
+
+		@Override
+		public void finished(CallResponse result) {
+			this.response.complete(CallRunner.this.writer.write(this.call.context().root().value(), result));
+			this.scope.remove(this);
+		}
+
+		@Override
+		public void cancel() {
+			this.downstream.cancel();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/http/CallerApi.java
@@ -0,0 +1,101 @@
+package org.wasabicart.node.http;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.Connection;
+import org.apache.pekko.stream.Materializer;
+
+import org.wasabicart.core.model.RefusalReason;
+import org.wasabicart.core.model.RequestContext;
+import org.wasabicart.node.LocalServerHolder;
+import org.wasabicart.node.peer.CallHandler;
+import org.wasabicart.node.peer.CallRequest;
+import org.wasabicart.node.peer.PeerCall;
+import org.wasabicart.node.peer.PeerCallListener;
+import org.wasabicart.node.request.Outcomes;
+import org.wasabicart.node.request.RootAllowances;
+
+/**
+ * HTTP interface for callers. The node's own paths are left to the operators' interface.
+ */
+final class CallerApi implements HttpApi {
+
+	private static final Duration RETRY_AFTER = Duration.ofMillis(500);
+
+	private final RequestReader reader;
+
+	private final CallRunner runner;
+
+	private final ResponseWriter writer;
+
+	private final LocalServerHolder state;
+
+	private final RootAllowances allowances;
+
+	private final CallHandler entry;
+
+	private final OperatorApi operators;
+
+	private final Materializer materializer;
+
+	CallerApi(RequestReader reader, CallRunner runner, ResponseWriter writer, LocalServerHolder state,
+			RootAllowances allowances, CallHandler entry, OperatorApi operators, Materializer materializer) {
+		this.reader = reader;
+		this.runner = runner;
+		this.writer = writer;
+		this.state = state;
+		this.allowances = allowances;
+		this.entry = entry;
+		this.operators = operators;
+		this.materializer = materializer;
+	}
+
+	@Override
+	public CompletionStage<HttpResponse> handle(HttpRequest request, ConnectionScope scope) {
+		Optional<CompletionStage<HttpResponse>> own = this.operators.handle(request);
+		if (own.isPresent()) {
+			request.discardEntityBytes(this.materializer);
+			return own.get();
+		}
+		if (this.state.draining()) {
+			return discard(request, this.writer.refusal(503, RefusalReason.DRAINING, RETRY_AFTER)
+				.addHeader(Connection.create("close")));
+		}
+		try {
+			RequestReader.RootRequest root = this.reader.root(request, this.reader.now());
+			CallHandler handler = root.repeatable() ? this::repeatable : this.entry;
+			return this.runner.run(request, scope, root.call(), handler);
+		}
+		catch (BadRequestException ex) {
+			return discard(request, this.writer.refusal(ex));
+		}
+	}
+
+	private CompletionStage<HttpResponse> discard(HttpRequest request, HttpResponse response) {
+		request.discardEntityBytes(this.materializer);
+		return CompletableFuture.completedFuture(response);
+	}
+
+	// Runs a request under an id that the client may have sent before.
+	private PeerCall repeatable(CallRequest call, PeerCallListener listener) {
+		RequestContext context = call.context();
+		Optional<RootAllowances.Send> send = this.allowances.begin(context.tenant(), context.root(),
+				context.retryAllowance());
+		if (send.isEmpty()) {
+			listener.finished(Outcomes.refused(call, RefusalReason.OVERLOADED, RETRY_AFTER));
+			return () -> {
+			};
+		}
+		CallRequest bounded = Outcomes.withAllowance(call, send.get().size());
+		return this.entry.handle(bounded, (response) -> {
+			send.get().end(response.outcome(), response.unspentRetryAllowance());
+			listener.finished(response);
+		});
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/http/HttpApi.java
@@ -0,0 +1,22 @@
+package org.wasabicart.node.http;
+
+import java.util.concurrent.CompletionStage;
+
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+
+/**
+ * Handles the requests of one HTTP server.
+ */
+@FunctionalInterface
+interface HttpApi {
+
+	/**
+	 * Handles a request.
+	 * @param request request, whose body may not have arrived yet
+	 * @param scope connection that it came on
+	 * @return the response; never fails
+	 */
+	CompletionStage<HttpResponse> handle(HttpRequest request, ConnectionScope scope);
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/http/NodeHttpServers.java
@@ -0,0 +1,92 @@
+package org.wasabicart.node.http;
+
+import java.io.IOException;
+import java.util.Objects;
+import java.util.random.RandomGenerator;
+
+import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.http.javadsl.settings.ServerSettings;
+import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.SystemMaterializer;
+
+import org.wasabicart.core.Ticker;
+import org.wasabicart.core.model.NodeAddress;
+import org.wasabicart.node.ConfigurationHolder;
+import org.wasabicart.node.LocalServerHolder;
+import org.wasabicart.node.peer.CallHandler;
+import org.wasabicart.node.request.ContextTable;
+import org.wasabicart.node.request.RootAllowances;
+
+/**
+ * The node's two HTTP servers: for callers and operators, and for the local backend
+ * server.
+ */
+public final class NodeHttpServers {
+
+	/** Largest body of a request or response, in bytes. */
+	public static final long BODY_LIMIT_BYTES = 4L << 20;
+
+	private final CallRunner callerRunner;
+
+	private final CallRunner nestedRunner;
+
+	private final HttpListener callers;
+
+	private final HttpListener local;
+
+	/**
+	 * Creates the servers without binding them.
+	 * @param system actor system
+	 * @param ticker clock of the deadlines
+	 * @param random source of request ids and jitter
+	 * @param configuration configuration in force
+	 * @param localServer receives announcements
+	 * @param contexts table of running calls
+	 * @param allowances allowances of repeated root requests
+	 * @param entry entry side of the request path
+	 * @param operators the node's own paths
+	 */
+	public NodeHttpServers(ActorSystem system, Ticker ticker, RandomGenerator random, ConfigurationHolder configuration,
+			LocalServerHolder localServer, ContextTable contexts, RootAllowances allowances, CallHandler entry,
+			OperatorApi operators) {
+		Objects.requireNonNull(entry, "entry");
+		Materializer materializer = SystemMaterializer.get(system).materializer();
+		RequestReader reader = new RequestReader(ticker, configuration, contexts, random);
+		ResponseWriter writer = new ResponseWriter(random);
+		ServerSettings settings = ServerSettings.create(system);
+		this.callerRunner = new CallRunner(materializer, writer, BODY_LIMIT_BYTES);
+		this.nestedRunner = new CallRunner(materializer, writer, BODY_LIMIT_BYTES);
+		this.callers = new HttpListener(system, settings, new CallerApi(reader, this.callerRunner, writer, localServer,
+				allowances, entry, operators, materializer));
+		this.local = new HttpListener(system, settings,
+				new LocalApi(reader, this.nestedRunner, writer, localServer, entry, materializer));
+	}
+
+	/**
+	 * Binds both servers.
+	 * @param callerAddress address for callers and operators
+	 * @param localAddress address for the local backend server
+	 * @throws IOException if an address cannot be bound
+	 */
+	public void start(NodeAddress callerAddress, NodeAddress localAddress) throws IOException {
+		this.local.start(localAddress);
+		this.callers.start(callerAddress);
+	}
+
+	/**
+	 * Returns the number of callers' requests in progress.
+	 * @return number of requests
+	 */
+	public int running() {
+		return this.callerRunner.running() + this.nestedRunner.running();
+	}
+
+	/**
+	 * Stops accepting connections. Open connections continue.
+	 */
+	public void unbind() {
+		this.callers.unbind();
+		this.local.unbind();
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/AdmissionHandler.java
@@ -0,0 +1,148 @@
+package org.wasabicart.node.request;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.wasabicart.core.Ticker;
+import org.wasabicart.core.admission.AdmissionController;
+import org.wasabicart.core.admission.AdmissionListener;
+import org.wasabicart.core.admission.AdmissionPermit;
+import org.wasabicart.core.admission.CallSample;
+import org.wasabicart.core.model.MemberState;
+import org.wasabicart.core.model.Outcome;
+import org.wasabicart.core.model.RefusalReason;
+import org.wasabicart.node.LocalServer;
+import org.wasabicart.node.LocalServerHolder;
+import org.wasabicart.node.peer.CallHandler;
+import org.wasabicart.node.peer.CallRequest;
+import org.wasabicart.node.peer.CallResponse;
+import org.wasabicart.node.peer.PeerCall;
+import org.wasabicart.node.peer.PeerCallListener;
+import org.wasabicart.node.peer.ServiceThreshold;
+
+/**
+ * End of the serving side: admits a call to the local backend server and runs it there.
+ */
+public final class AdmissionHandler implements CallHandler {
+
+	/** Time until a restarting or draining backend server has left the routers' views. */
+	private static final Duration RETRY_AFTER = Duration.ofMillis(500);
+
+	private final Ticker ticker;
+
+	private final LocalServerHolder localServer;
+
+	private final LocalAdmission admission;
+
+	private final BackendExit exit;
+
+	/**
+	 * Creates a handler.
+	 * @param ticker clock of the deadlines
+	 * @param localServer announced backend server
+	 * @param admission admission controller in front of it
+	 * @param exit sends admitted calls
+	 */
+	public AdmissionHandler(Ticker ticker, LocalServerHolder localServer, LocalAdmission admission, BackendExit exit) {
+		this.ticker = ticker;
+		this.localServer = localServer;
+		this.admission = admission;
+		this.exit = exit;
+	}
+
+	@Override
+	public PeerCall handle(CallRequest request, PeerCallListener listener) {
+		Optional<AdmissionController> controller = this.admission.controller(request.service());
+		MemberState state = this.localServer.state();
+		if (state == MemberState.DRAINING) {
+			return refuse(request, listener, RefusalReason.DRAINING);
+		}
+		if (state != MemberState.SERVING || controller.isEmpty()) {
+			return refuse(request, listener, RefusalReason.NO_BACKEND_SERVER);
+		}
+		if (request.context().remainingNanoseconds(this.ticker.nanoseconds()) <= 0) {
+			return refuse(request, listener, RefusalReason.EXPIRED);
+		}
+		OfferedCall call = new OfferedCall(controller.get(), request, listener);
+		controller.get().offer(request.context(), request.body().length, call);
+		return call;
+	}
+
+	private static PeerCall refuse(CallRequest request, PeerCallListener listener, RefusalReason reason) {
+		listener.finished(Outcomes.refused(request, reason, RETRY_AFTER));
+		return Outcomes.ENDED;
+	}
+
+	private final class OfferedCall implements AdmissionListener, BackendListener, PeerCall {
+
+		private final CancellableCall call = new CancellableCall();
+
+		private final AdmissionController controller;
+
+		private final CallRequest request;
+
+		private final PeerCallListener listener;
+
+		private AdmissionPermit permit;
+
+		OfferedCall(AdmissionController controller, CallRequest request, PeerCallListener listener) {
+			this.controller = controller;
+			this.request = request;
+			this.listener = listener;
+		}
+
+		@Override
+		public void admitted(AdmissionPermit given) {
+			this.permit = given;
+			LocalServer server = AdmissionHandler.this.localServer.server().orElse(null);
+			RefusalReason reason = reasonNotToRun(server);
+			if (reason != null) {
+				ended(new CallSample(0, CallSample.Result.IGNORED));
+				responded(Outcomes.refused(this.request, reason, RETRY_AFTER));
+				return;
+			}
+			this.call.follow(AdmissionHandler.this.exit.call(server, this.request, this));
+		}
+
+		private RefusalReason reasonNotToRun(LocalServer server) {
+			if (this.call.cancelled()) {
+				return RefusalReason.CANCELLED;
+			}
+			if (server == null) {
+				return RefusalReason.NO_BACKEND_SERVER;
+			}
+			long now = AdmissionHandler.this.ticker.nanoseconds();
+			return (this.request.context().remainingNanoseconds(now) <= 0) ? RefusalReason.EXPIRED : null;
+		}
+
+		@Override
+		public void refused(Outcome.Refused refusal) {
+			responded(CallResponse.withoutBody(refusal, this.request.context().retryAllowance()));
+		}
+
+		@Override
+		public void responded(CallResponse response) {
+			List<ServiceThreshold> thresholds = new ArrayList<>(response.thresholds());
+			thresholds.add(new ServiceThreshold(this.request.service(), this.controller.threshold()));
+			this.listener.finished(new CallResponse(response.outcome(), response.unspentRetryAllowance(), thresholds,
+					response.headers(), response.body()));
+		}
+
+		@Override
+		public void ended(CallSample sample) {
+			this.controller.finished(this.permit, sample);
+		}
+
+		@Override
+		public void cancel() {
+			this.call.cancel();
+			if (this.controller.withdraw(this)) {
+				responded(Outcomes.refused(this.request, RefusalReason.CANCELLED, Duration.ZERO));
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/Attempt.java
@@ -0,0 +1,104 @@
+package org.wasabicart.node.request;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.wasabicart.core.model.Execution;
+import org.wasabicart.core.model.Member;
+import org.wasabicart.core.model.Outcome;
+import org.wasabicart.core.model.RequestContext;
+import org.wasabicart.core.retry.RetryAllowance;
+import org.wasabicart.core.routing.RouteSample;
+import org.wasabicart.node.peer.CallRequest;
+import org.wasabicart.node.peer.CallResponse;
+import org.wasabicart.node.peer.PeerCall;
+import org.wasabicart.node.peer.PeerCallListener;
+
+/**
+ * One attempt of a routed call at one serving node. It ends with the response or at the
+ * attempt's deadline, whichever comes first.
+ */
+final class Attempt implements PeerCallListener, PeerCall {
+
+	private final AtomicBoolean ended = new AtomicBoolean();
+
+	private final CancellableCall call = new CancellableCall();
+
+	private final RoutedCall routed;
+
+	private final RoutingHandler routing;
+
+	private final Member member;
+
+	private final RetryAllowance.Reservation reservation;
+
+	private final CallRequest request;
+
+	private volatile TaskScheduler.ScheduledTask timer;
+
+	private long startNanoseconds;
+
+	Attempt(RoutedCall routed, RoutingHandler routing, Member member, RetryAllowance.Reservation reservation,
+			CallRequest request) {
+		this.routed = routed;
+		this.routing = routing;
+		this.member = member;
+		this.reservation = reservation;
+		this.request = request;
+	}
+
+	Member member() {
+		return this.member;
+	}
+
+	void start() {
+		RequestContext context = this.request.context();
+		this.startNanoseconds = this.routing.ticker().nanoseconds();
+		long deadline = this.routing.attemptDeadline(this.request.service(), context);
+		// The caller's own timer covers attempts that may use all of the time. An order
+		// keeps the call's deadline, since it is not repeated after a timeout.
+		boolean limited = context.execution() == Execution.IDEMPOTENT && deadline < context.deadlineNanoseconds();
+		if (limited) {
+			this.timer = this.routing.scheduler().schedule(deadline - this.startNanoseconds, this::expire);
+		}
+		RequestContext sent = new RequestContext(context.root(), context.kind(), context.tenant(), context.importance(),
+				context.execution(), limited ? deadline : context.deadlineNanoseconds(), this.reservation.size(),
+				context.depth());
+		CallRequest copy = new CallRequest(sent, this.request.service(), this.request.ticket(), false,
+				this.request.method(), this.request.path(), this.request.headers(), this.request.body());
+		this.routing.router().started(this.member);
+		this.call.follow(this.routing.send(this.member, copy, this));
+	}
+
+	private void expire() {
+		end(CallResponse.withoutBody(RoutedCall.timeout(this.request), 0));
+		this.call.cancel();
+	}
+
+	@Override
+	public void finished(CallResponse response) {
+		end(response);
+	}
+
+	private void end(CallResponse response) {
+		if (!this.ended.compareAndSet(false, true)) {
+			// A late response returns nothing: the reservation counts as spent.
+			return;
+		}
+		if (this.timer != null) {
+			this.timer.cancel();
+		}
+		boolean neverRan = response.outcome() instanceof Outcome.Refused;
+		this.reservation.giveBack(neverRan ? this.reservation.size() : response.unspentRetryAllowance());
+		long latency = this.routing.ticker().nanoseconds() - this.startNanoseconds;
+		RouteSample sample = new RouteSample(latency, response.outcome(), this.request.body().length,
+				response.body().length);
+		this.routing.router().finished(this.member, sample);
+		this.routed.ended(this, response);
+	}
+
+	@Override
+	public void cancel() {
+		this.call.cancel();
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/BackendExit.java
@@ -0,0 +1,22 @@
+package org.wasabicart.node.request;
+
+import org.wasabicart.node.LocalServer;
+import org.wasabicart.node.peer.CallRequest;
+import org.wasabicart.node.peer.PeerCall;
+
+/**
+ * Sends calls to the local backend server.
+ */
+@FunctionalInterface
+public interface BackendExit {
+
+	/**
+	 * Sends one call.
+	 * @param server backend server
+	 * @param request call
+	 * @param listener receives the response and the end of the call
+	 * @return handle to cancel the call
+	 */
+	PeerCall call(LocalServer server, CallRequest request, BackendListener listener);
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/BoundedRetryPolicy.java
@@ -0,0 +1,113 @@
+package org.wasabicart.node.request;
+
+import java.time.Duration;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.function.Function;
+import java.util.function.IntFunction;
+import java.util.random.RandomGenerator;
+
+import org.wasabicart.core.model.Execution;
+import org.wasabicart.core.model.Outcome;
+import org.wasabicart.core.model.ServiceName;
+import org.wasabicart.core.retry.RetryAllowance;
+import org.wasabicart.core.retry.RetryBudget;
+import org.wasabicart.node.ConfigurationHolder;
+import org.wasabicart.node.peer.CallRequest;
+
+/**
+ * Retries within the root request's allowance and the node's budget per service, with
+ * full jitter, at the hop next to the failure only.
+ */
+public final class BoundedRetryPolicy implements RetryPolicy {
+
+	private static final long BASE_BACKOFF_NANOSECONDS = Duration.ofMillis(10).toNanos();
+
+	private static final long MAXIMUM_BACKOFF_NANOSECONDS = Duration.ofMillis(200).toNanos();
+
+	private static final int MAXIMUM_DOUBLINGS = 10;
+
+	private final ConcurrentMap<ServiceName, RetryBudget> budgets = new ConcurrentHashMap<>();
+
+	private final ConfigurationHolder configuration;
+
+	private final IntFunction<RetryAllowance> allowances;
+
+	private final Function<ServiceName, RetryBudget> budgetFactory;
+
+	private final RandomGenerator random;
+
+	/**
+	 * Creates a policy.
+	 * @param configuration configuration in force
+	 * @param allowances creates an allowance of a size
+	 * @param budgetFactory creates the budget of a service
+	 * @param random source of the jitter
+	 */
+	public BoundedRetryPolicy(ConfigurationHolder configuration, IntFunction<RetryAllowance> allowances,
+			Function<ServiceName, RetryBudget> budgetFactory, RandomGenerator random) {
+		this.configuration = configuration;
+		this.allowances = allowances;
+		this.budgetFactory = budgetFactory;
+		this.random = random;
+		// A change of the operations lead's ratio starts the budgets afresh.
+		configuration.addListener((snapshot) -> this.budgets.clear());
+	}
+
+	@Override
+	public RetryAllowance allowance(CallRequest request) {
+		return this.allowances.apply(request.context().retryAllowance());
+	}
+
+	/**
+	 * Passes nothing on to a service that calls no other, since it cannot retry. Keeps
+	 * one retry at this hop otherwise, because a lost response spends all that was passed
+	 * on; a single retry goes to the deeper hops, which are more likely to need it.
+	 */
+	@Override
+	public int share(ServiceName service, int available) {
+		boolean leaf = this.configuration.current()
+			.service(service)
+			.map((policy) -> policy.calls().isEmpty())
+			.orElse(false);
+		if (leaf) {
+			return 0;
+		}
+		return (available > 1) ? available - 1 : available;
+	}
+
+	@Override
+	public boolean spend(CallRequest request, Outcome outcome, RetryAllowance allowance) {
+		if (!repeatable(request, outcome)) {
+			return false;
+		}
+		return allowance.available() > 0 && budget(request.service()).tryToSpend() && allowance.tryToSpend();
+	}
+
+	private static boolean repeatable(CallRequest request, Outcome outcome) {
+		if (outcome instanceof Outcome.Refused refused) {
+			return switch (refused.reason()) {
+				case SHED, OVERLOADED, QUEUE_FULL -> true;
+				default -> false;
+			};
+		}
+		boolean idempotent = request.context().execution() == Execution.IDEMPOTENT;
+		return idempotent && outcome instanceof Outcome.Failed failed && !failed.retriedBelow();
+	}
+
+	@Override
+	public long backoffNanoseconds(int retry) {
+		long bound = BASE_BACKOFF_NANOSECONDS << Math.min(retry - 1, MAXIMUM_DOUBLINGS);
+		return this.random.nextLong(Math.min(bound, MAXIMUM_BACKOFF_NANOSECONDS) + 1);
+	}
+
+	@Override
+	public void succeeded(ServiceName service) {
+		budget(service).earn();
+	}
+
+	private RetryBudget budget(ServiceName service) {
+		return this.budgets.computeIfAbsent(service, this.budgetFactory);
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/EarlyRefusalFilter.java
@@ -0,0 +1,48 @@
+package org.wasabicart.node.request;
+
+import java.util.Optional;
+
+import org.wasabicart.core.model.Outcome;
+import org.wasabicart.core.routing.EarlyRefusal;
+import org.wasabicart.node.peer.CallHandler;
+import org.wasabicart.node.peer.CallRequest;
+import org.wasabicart.node.peer.CallResponse;
+import org.wasabicart.node.peer.PeerCall;
+import org.wasabicart.node.peer.PeerCallListener;
+
+/**
+ * Refuses root requests that a deeper service would refuse, and learns thresholds from
+ * the responses. Nested calls are not checked, since the thresholds of a kind include
+ * those of services that the root request has already passed.
+ */
+public final class EarlyRefusalFilter implements RequestFilter {
+
+	private final EarlyRefusal earlyRefusal;
+
+	/**
+	 * Creates a filter.
+	 * @param earlyRefusal decision
+	 */
+	public EarlyRefusalFilter(EarlyRefusal earlyRefusal) {
+		this.earlyRefusal = earlyRefusal;
+	}
+
+	@Override
+	public PeerCall handle(CallRequest request, PeerCallListener listener, CallHandler next) {
+		if (request.context().depth() > 0) {
+			return next.handle(request, listener);
+		}
+		Optional<Outcome.Refused> refusal = this.earlyRefusal.check(request.context());
+		if (refusal.isPresent()) {
+			listener.finished(CallResponse.withoutBody(refusal.get(), request.context().retryAllowance()));
+			return Outcomes.ENDED;
+		}
+		return next.handle(request, (response) -> {
+			response.thresholds()
+				.forEach((threshold) -> this.earlyRefusal.learn(request.context().kind(), threshold.service(),
+						threshold.threshold()));
+			listener.finished(response);
+		});
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/Outcomes.java
@@ -0,0 +1,56 @@
+package org.wasabicart.node.request;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.wasabicart.core.model.Outcome;
+import org.wasabicart.core.model.RefusalReason;
+import org.wasabicart.core.model.RequestContext;
+import org.wasabicart.node.peer.CallRequest;
+import org.wasabicart.node.peer.CallResponse;
+import org.wasabicart.node.peer.PeerCall;
+
+/**
+ * Frequent outcomes of the request path.
+ */
+public final class Outcomes {
+
+	/** Handle of a call that has already ended. */
+	static final PeerCall ENDED = () -> {
+	};
+
+	private Outcomes() {
+	}
+
+	/**
+	 * Creates a refusal of a call that this node did not pass on, with its whole retry
+	 * allowance unspent.
+	 * @param request call
+	 * @param reason reason
+	 * @param retryAfter time after which a retry makes sense
+	 * @return the response
+	 */
+	public static CallResponse refused(CallRequest request, RefusalReason reason, Duration retryAfter) {
+		return CallResponse.withoutBody(new Outcome.Refused(reason, retryAfter), request.context().retryAllowance());
+	}
+
+	/**
+	 * Returns a call with another retry allowance.
+	 * @param request call
+	 * @param allowance retries that the call's subtree may use
+	 * @return the call
+	 */
+	public static CallRequest withAllowance(CallRequest request, int allowance) {
+		RequestContext context = request.context();
+		RequestContext changed = new RequestContext(context.root(), context.kind(), context.tenant(),
+				context.importance(), context.execution(), context.deadlineNanoseconds(), allowance, context.depth());
+		return new CallRequest(changed, request.service(), request.ticket(), request.toHome(), request.method(),
+				request.path(), request.headers(), request.body());
+	}
+
+	static CallResponse withOutcome(CallResponse response, Outcome outcome) {
+		return new CallResponse(outcome, response.unspentRetryAllowance(), response.thresholds(), List.of(),
+				new byte[0]);
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/RequestFilter.java
@@ -0,0 +1,45 @@
+package org.wasabicart.node.request;
+
+import java.util.ArrayDeque;
+
+import org.wasabicart.node.peer.CallHandler;
+import org.wasabicart.node.peer.CallRequest;
+import org.wasabicart.node.peer.PeerCall;
+import org.wasabicart.node.peer.PeerCallListener;
+
+/**
+ * One step of the request path with one responsibility.
+ * <p>
+ * Example: a filter that passes everything on:
+ * {@code (request, listener, next) -> next.handle(request, listener)}.
+ */
+@FunctionalInterface
+public interface RequestFilter {
+
+	/**
+	 * Handles a call: responds itself, or passes it on.
+	 * @param request call
+	 * @param listener to be invoked exactly once with the response
+	 * @param next rest of the chain
+	 * @return handle to cancel the call
+	 */
+	PeerCall handle(CallRequest request, PeerCallListener listener, CallHandler next);
+
+	/**
+	 * Builds a chain.
+	 * @param filters filters in the order in which they see a call
+	 * @param last handler after the last filter
+	 * @return handler that runs the chain
+	 */
+	static CallHandler chain(Iterable<RequestFilter> filters, CallHandler last) {
+		CallHandler chain = last;
+		ArrayDeque<RequestFilter> reversed = new ArrayDeque<>();
+		filters.forEach(reversed::push);
+		for (RequestFilter filter : reversed) {
+			CallHandler next = chain;
+			chain = (request, listener) -> filter.handle(request, listener, next);
+		}
+		return chain;
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/RoutingHandler.java
@@ -0,0 +1,107 @@
+package org.wasabicart.node.request;
+
+import org.wasabicart.core.Ticker;
+import org.wasabicart.core.model.Member;
+import org.wasabicart.core.model.NodeId;
+import org.wasabicart.core.model.RequestContext;
+import org.wasabicart.core.model.ServiceName;
+import org.wasabicart.core.model.ServicePolicy;
+import org.wasabicart.core.routing.Router;
+import org.wasabicart.node.ConfigurationHolder;
+import org.wasabicart.node.peer.CallHandler;
+import org.wasabicart.node.peer.CallRequest;
+import org.wasabicart.node.peer.PeerCall;
+import org.wasabicart.node.peer.PeerCallListener;
+import org.wasabicart.node.peer.PeerTransport;
+
+/**
+ * End of the entry side: sends a call to a serving node, and repeats it within the retry
+ * policy.
+ */
+public final class RoutingHandler implements CallHandler {
+
+	private final NodeId self;
+
+	private final Ticker ticker;
+
+	private final TaskScheduler scheduler;
+
+	private final ConfigurationHolder configuration;
+
+	private final Router router;
+
+	private final RetryPolicy retries;
+
+	private final PeerTransport transport;
+
+	private final CallHandler serving;
+
+	/**
+	 * Creates a handler.
+	 * @param self this node
+	 * @param ticker clock of the deadlines
+	 * @param scheduler runs backoff and attempt deadlines
+	 * @param configuration configuration in force
+	 * @param router chooses serving nodes
+	 * @param retries decides on retries
+	 * @param transport sends calls to peers
+	 * @param serving serving side of this node, for calls to the local backend server
+	 */
+	public RoutingHandler(NodeId self, Ticker ticker, TaskScheduler scheduler, ConfigurationHolder configuration,
+			Router router, RetryPolicy retries, PeerTransport transport, CallHandler serving) {
+		this.self = self;
+		this.ticker = ticker;
+		this.scheduler = scheduler;
+		this.configuration = configuration;
+		this.router = router;
+		this.retries = retries;
+		this.transport = transport;
+		this.serving = serving;
+	}
+
+	@Override
+	public PeerCall handle(CallRequest request, PeerCallListener listener) {
+		RoutedCall call = new RoutedCall(this, request, listener, this.retries.allowance(request));
+		call.attempt();
+		return call;
+	}
+
+	Ticker ticker() {
+		return this.ticker;
+	}
+
+	TaskScheduler scheduler() {
+		return this.scheduler;
+	}
+
+	Router router() {
+		return this.router;
+	}
+
+	RetryPolicy retries() {
+		return this.retries;
+	}
+
+	PeerCall send(Member member, CallRequest request, PeerCallListener listener) {
+		if (member.id().equals(this.self)) {
+			return this.serving.handle(request, listener);
+		}
+		return this.transport.send(member.address(), request, listener);
+	}
+
+	/**
+	 * Returns when an attempt has to end.
+	 * @param service service to call
+	 * @param context context of the call
+	 * @return ticker time in nanoseconds, no later than the call's deadline
+	 */
+	long attemptDeadline(ServiceName service, RequestContext context) {
+		long latest = context.deadlineNanoseconds();
+		return this.configuration.current()
+			.service(service)
+			.map(ServicePolicy::attemptDeadline)
+			.map((limit) -> Math.min(latest, this.ticker.nanoseconds() + limit.toNanos()))
+			.orElse(latest);
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/RunningContext.java
@@ -0,0 +1,149 @@
+package org.wasabicart.node.request;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.wasabicart.core.Ticker;
+import org.wasabicart.core.model.Outcome;
+import org.wasabicart.core.model.RequestContext;
+import org.wasabicart.core.model.ServiceName;
+import org.wasabicart.core.retry.RetryAllowance;
+import org.wasabicart.node.peer.CallResponse;
+import org.wasabicart.node.peer.PeerCall;
+import org.wasabicart.node.peer.ServiceThreshold;
+
+/**
+ * Context of one call that runs in the local backend server, with what its nested calls
+ * brought back. Safe for use by several threads.
+ */
+public final class RunningContext {
+
+	private final Map<ServiceName, ServiceThreshold> thresholds = new LinkedHashMap<>();
+
+	private final Map<Long, PeerCall> nestedCalls = new LinkedHashMap<>();
+
+	private final String handle;
+
+	private final RequestContext context;
+
+	private final RetryAllowance allowance;
+
+	private final Ticker ticker;
+
+	private long lastNumber;
+
+	private long nestedSinceNanoseconds;
+
+	private long nestedNanoseconds;
+
+	private boolean nestedFailed;
+
+	private boolean closed;
+
+	RunningContext(String handle, RequestContext context, RetryAllowance allowance, Ticker ticker) {
+		this.handle = handle;
+		this.context = context;
+		this.allowance = allowance;
+		this.ticker = ticker;
+	}
+
+	/**
+	 * Returns the handle that the backend server copies to its nested calls.
+	 * @return 32 hexadecimal digits
+	 */
+	public String handle() {
+		return this.handle;
+	}
+
+	/**
+	 * Returns the context of the running call.
+	 * @return the context
+	 */
+	public RequestContext context() {
+		return this.context;
+	}
+
+	/**
+	 * Returns the allowance that the nested calls share.
+	 * @return the allowance
+	 */
+	public RetryAllowance allowance() {
+		return this.allowance;
+	}
+
+	/**
+	 * Adds a nested call.
+	 * @param call handle to cancel it
+	 * @return number of the nested call, or zero if the running call has ended
+	 */
+	public synchronized long begin(PeerCall call) {
+		if (this.closed) {
+			return 0;
+		}
+		if (this.nestedCalls.isEmpty()) {
+			this.nestedSinceNanoseconds = this.ticker.nanoseconds();
+		}
+		this.lastNumber++;
+		this.nestedCalls.put(this.lastNumber, call);
+		return this.lastNumber;
+	}
+
+	/**
+	 * Ends a nested call.
+	 * @param number number of the nested call
+	 * @param response its response
+	 */
+	public synchronized void end(long number, CallResponse response) {
+		if (this.nestedCalls.remove(number) == null) {
+			return;
+		}
+		if (this.nestedCalls.isEmpty()) {
+			this.nestedNanoseconds += this.ticker.nanoseconds() - this.nestedSinceNanoseconds;
+		}
+		response.thresholds().forEach((threshold) -> this.thresholds.put(threshold.service(), threshold));
+		this.nestedFailed |= !(response.outcome() instanceof Outcome.Completed);
+	}
+
+	/**
+	 * Ends the running call and cancels nested calls that the backend server left behind.
+	 */
+	void close() {
+		List<PeerCall> left;
+		synchronized (this) {
+			this.closed = true;
+			left = List.copyOf(this.nestedCalls.values());
+			if (!left.isEmpty()) {
+				this.nestedNanoseconds += this.ticker.nanoseconds() - this.nestedSinceNanoseconds;
+			}
+			this.nestedCalls.clear();
+		}
+		left.forEach(PeerCall::cancel);
+	}
+
+	/**
+	 * Returns the thresholds that nested calls brought back.
+	 * @return a copy
+	 */
+	public synchronized List<ServiceThreshold> thresholds() {
+		return List.copyOf(this.thresholds.values());
+	}
+
+	/**
+	 * Returns the time in which at least one nested call was running.
+	 * @return nanoseconds
+	 */
+	public synchronized long nestedNanoseconds() {
+		return this.nestedNanoseconds;
+	}
+
+	/**
+	 * Returns whether a nested call failed, so that a failure of the running call is no
+	 * reason to retry at this hop.
+	 * @return whether one failed or was refused
+	 */
+	public synchronized boolean nestedFailed() {
+		return this.nestedFailed;
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/test/java/org/wasabicart/node/RunningNode.java
@@ -0,0 +1,180 @@
+package org.wasabicart.node;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
+import com.sun.net.httpserver.HttpServer;
+
+import org.wasabicart.core.model.ConfigurationSnapshot;
+import org.wasabicart.core.model.Execution;
+import org.wasabicart.core.model.InstanceNumber;
+import org.wasabicart.core.model.KindName;
+import org.wasabicart.core.model.Member;
+import org.wasabicart.core.model.MemberState;
+import org.wasabicart.core.model.NodeAddress;
+import org.wasabicart.core.model.RequestKind;
+import org.wasabicart.core.model.Revision;
+import org.wasabicart.core.model.ServiceName;
+import org.wasabicart.core.model.ServicePolicy;
+import org.wasabicart.node.baseline.CountingAllowance;
+import org.wasabicart.node.baseline.FixedLimitAdmission;
+import org.wasabicart.node.baseline.NoEarlyRefusal;
+import org.wasabicart.node.baseline.RandomRouter;
+import org.wasabicart.node.baseline.UnlimitedRetryBudget;
+import org.wasabicart.node.settings.NodeSettings;
+import org.wasabicart.node.settings.SettingsReader;
+
+/**
+ * A node in this process with a backend server whose behaviour the test gives.
+ */
+final class RunningNode implements AutoCloseable {
+
+	static final ServiceName STORES = new ServiceName("stores");
+
+	static final Duration DEADLINE = Duration.ofSeconds(2);
+
+	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	private final ConfigurationHolder configuration = new ConfigurationHolder();
+
+	private final LocalServerHolder localServer = new LocalServerHolder(System::nanoTime);
+
+	private final Set<String> cancelled = ConcurrentHashMap.newKeySet();
+
+	private final NodeSettings settings;
+
+	private final HttpServer backend;
+
+	private final RandomRouter router;
+
+	private final Node node;
+
+	RunningNode(int slots, HttpHandler handler) throws Exception {
+		this.settings = new SettingsReader(Map.of()).read("--node-id", "n1", "--failure-domain", "a", "--region", "r",
+				"--listen-address", "127.0.0.1:" + freePort(), "--http-address", "127.0.0.1:" + freePort(),
+				"--local-http-address", "127.0.0.1:" + freePort(), "--grace-seconds", "5");
+		this.backend = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+		this.backend.setExecutor(Executors.newCachedThreadPool());
+		this.backend.createContext("/", handler);
+		this.backend.createContext("/wasabicart/cancel/", (exchange) -> {
+			this.cancelled.add(exchange.getRequestURI().getPath());
+			respond(exchange, 204, "");
+		});
+		this.backend.start();
+		Random random = new Random(1);
+		this.router = new RandomRouter(this.settings.failureDomain(), random);
+		Decisions decisions = new Decisions(
+				(policy, previous) -> new FixedLimitAdmission(System::nanoTime, slots, slots), this.router,
+				new NoEarlyRefusal(), CountingAllowance::new, (service) -> new UnlimitedRetryBudget());
+		this.node = new Node(new NodeParts(this.settings, new InstanceNumber(1), System::nanoTime, random,
+				this.configuration, this.localServer, decisions, List.of(), List.of()));
+		this.configuration.adopt(snapshot());
+		this.node.start();
+	}
+
+	private static ConfigurationSnapshot snapshot() {
+		ServicePolicy stores = new ServicePolicy(STORES, 100, 100, 100, 0.1, Duration.ofMillis(100), 1 << 20, DEADLINE,
+				Set.of());
+		return new ConfigurationSnapshot(new Revision(1), List.of(kind("lookup", Execution.IDEMPOTENT, "/stock/"),
+				kind("print-run", Execution.ORDER, "/orders/")), List.of(stores), List.of(), Map.of());
+	}
+
+	private static RequestKind kind(String name, Execution execution, String prefix) {
+		return new RequestKind(new KindName(name), 50, 1, execution, STORES, prefix, DEADLINE, 2);
+	}
+
+	static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return socket.getLocalPort();
+		}
+	}
+
+	static void respond(HttpExchange exchange, int status, String body) throws IOException {
+		byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+		exchange.getRequestBody().readAllBytes();
+		exchange.sendResponseHeaders(status, (bytes.length > 0) ? bytes.length : -1);
+		exchange.getResponseBody().write(bytes);
+		exchange.close();
+	}
+
+	/**
+	 * Announces the backend server over HTTP, and lists this node as its member.
+	 * @return this node
+	 * @throws Exception if the announcement fails
+	 */
+	RunningNode announce() throws Exception {
+		String json = "{\"service\":\"stores\",\"address\":\"127.0.0.1:" + this.backend.getAddress().getPort()
+				+ "\",\"slots\":4,\"connections\":16,\"state\":\"serving\"}";
+		HttpResponse<String> response = send(HttpRequest.newBuilder(local("/wasabicart/announcement"))
+			.PUT(HttpRequest.BodyPublishers.ofString(json)));
+		if (response.statusCode() != 204) {
+			throw new IllegalStateException("Announcement was refused: " + response.body());
+		}
+		this.router.updateMembers(List.of(new Member(this.settings.nodeId(), new InstanceNumber(1), STORES,
+				this.settings.failureDomain(), this.settings.region(), this.settings.advertisedAddress(),
+				MemberState.SERVING, 4, new Revision(1))));
+		return this;
+	}
+
+	/**
+	 * Stops the backend server, which stays announced.
+	 */
+	void stopBackend() {
+		this.backend.stop(0);
+	}
+
+	HttpResponse<String> send(HttpRequest.Builder request) throws Exception {
+		return this.client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+	}
+
+	URI caller(String path) {
+		return uri(this.settings.httpAddress(), path);
+	}
+
+	URI local(String path) {
+		return uri(this.settings.localHttpAddress(), path);
+	}
+
+	NodeAddress callerAddress() {
+		return this.settings.httpAddress();
+	}
+
+	private static URI uri(NodeAddress address, String path) {
+		return URI.create("http://" + address + path);
+	}
+
+	Set<String> cancelled() {
+		return this.cancelled;
+	}
+
+	HttpClient client() {
+		return this.client;
+	}
+
+	Node node() {
+		return this.node;
+	}
+
+	@Override
+	public void close() {
+		this.node.close();
+		this.backend.stop(0);
+	}
+
+}
