Install the link before the decoder passes on its first frames

The handshake handler received the link's first frames when they arrived in the same read as the last hello, and closed the connection.

--- a/wasabicart-node/src/main/java/org/wasabicart/node/link/LinkPipeline.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/link/LinkPipeline.java
@@ -36,8 +36,10 @@
 	}
 
 	static void established(ChannelPipeline pipeline, ChannelHandler link, LinkLimits limits) {
-		pipeline.replace(LENGTH_DECODER, LENGTH_DECODER, lengthDecoder(limits.maximumFrameBytes()));
+		// The link comes first: the replaced decoder passes on the bytes that it has
+		// already read, which can hold the link's first frames.
 		pipeline.replace(LINK, LINK, link);
+		pipeline.replace(LENGTH_DECODER, LENGTH_DECODER, lengthDecoder(limits.maximumFrameBytes()));
 	}
 
 	private static LengthFieldBasedFrameDecoder lengthDecoder(int maximumFrameBytes) {
