Add the network relay

Cause: experiments need delays, a limited link between regions, partitions and silent connections without hooks in the node. The first version reordered the end of a stream before its last data, because timers of nearly equal time fire in any order; each timer now runs the oldest action.

--- /dev/null
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/relay/RelayFaults.java
@@ -0,0 +1,69 @@
+package org.wasabicart.standin.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.wasabicart.standin.http.Json;
+
+/**
+ * Faults of the network.
+ *
+ * @param cuts directions in which nothing passes
+ * @param lossShare share of the datagrams that are lost
+ * @param extraMilliseconds delay between failure domains in addition to the rules
+ */
+public record RelayFaults(List<Direction> cuts, double lossShare, double extraMilliseconds) {
+
+	/** No fault. */
+	public static final RelayFaults NONE = new RelayFaults(List.of(), 0, 0);
+
+	public RelayFaults {
+		cuts = List.copyOf(cuts);
+	}
+
+	RelayFaults with(JsonNode change) {
+		List<Direction> changed = change.has("cuts") ? directions(change.path("cuts")) : this.cuts;
+		return new RelayFaults(changed, change.path("lossShare").asDouble(this.lossShare),
+				change.path("extraMilliseconds").asDouble(this.extraMilliseconds));
+	}
+
+	static List<Direction> directions(JsonNode array) {
+		List<Direction> directions = new ArrayList<>();
+		for (JsonNode direction : array) {
+			directions.add(new Direction(direction.path("from").asText("*"), direction.path("to").asText("*")));
+		}
+		return directions;
+	}
+
+	boolean cut(RelayRules.Place from, RelayRules.Place to) {
+		return this.cuts.stream().anyMatch((direction) -> direction.matches(from, to));
+	}
+
+	ObjectNode toJson() {
+		ObjectNode json = Json.object()
+			.put("lossShare", this.lossShare)
+			.put("extraMilliseconds", this.extraMilliseconds);
+		ArrayNode array = json.putArray("cuts");
+		this.cuts.forEach((direction) -> array.addObject().put("from", direction.from()).put("to", direction.to()));
+		return json;
+	}
+
+	/**
+	 * Direction of traffic. Each end is a failure domain, a region, or {@code *}.
+	 *
+	 * @param from sender
+	 * @param to receiver
+	 */
+	public record Direction(String from, String to) {
+
+		boolean matches(RelayRules.Place sender, RelayRules.Place receiver) {
+			return sender.matches(this.from) && receiver.matches(this.to);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/relay/TcpDirection.java
@@ -0,0 +1,168 @@
+package org.wasabicart.standin.relay;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+
+import org.wasabicart.standin.relay.RelayRules.Place;
+
+/**
+ * One direction of a relayed connection. Data keeps its order, waits while the direction
+ * is cut, and is discarded once the connection is silenced.
+ */
+final class TcpDirection {
+
+	// Reading pauses here, which slows the sender as a full link does.
+	private static final int MAXIMUM_PENDING_BYTES = 512 * 1024;
+
+	private static final long CUT_POLL_MILLISECONDS = 10;
+
+	private final RelayNetwork network;
+
+	private final ScheduledExecutorService timer;
+
+	private final Place from;
+
+	private final Place to;
+
+	private final Channel source;
+
+	private final Channel target;
+
+	// An empty buffer stands for the end of the stream.
+	private final Deque<ByteBuf> held = new ArrayDeque<>();
+
+	private final Deque<Runnable> scheduled = new ArrayDeque<>();
+
+	private long lastArrival;
+
+	private int pendingBytes;
+
+	private boolean silenced;
+
+	TcpDirection(RelayNetwork network, ScheduledExecutorService timer, Place from, Place to, Channel source,
+			Channel target, long openNanoseconds) {
+		this.network = network;
+		this.timer = timer;
+		this.from = from;
+		this.to = to;
+		this.source = source;
+		this.target = target;
+		this.lastArrival = openNanoseconds;
+	}
+
+	synchronized void silence() {
+		this.silenced = true;
+	}
+
+	boolean connects(RelayFaults.Direction direction) {
+		return direction.matches(this.from, this.to);
+	}
+
+	synchronized void received(ByteBuf data) {
+		if (this.silenced) {
+			data.release();
+			return;
+		}
+		this.pendingBytes += data.readableBytes();
+		if (this.pendingBytes > MAXIMUM_PENDING_BYTES) {
+			this.source.config().setAutoRead(false);
+		}
+		if (holds()) {
+			this.held.add(data);
+			return;
+		}
+		send(data);
+	}
+
+	/**
+	 * The sender has closed its connection. A partition hides that, as does silence.
+	 */
+	synchronized void ended() {
+		if (this.silenced) {
+			return;
+		}
+		if (holds()) {
+			this.held.add(Unpooled.EMPTY_BUFFER);
+			return;
+		}
+		close();
+	}
+
+	private boolean holds() {
+		if (!this.held.isEmpty()) {
+			return true;
+		}
+		if (this.network.cut(this.from, this.to)) {
+			pollCut();
+			return true;
+		}
+		return false;
+	}
+
+	private void pollCut() {
+		this.timer.schedule(this::releaseHeld, CUT_POLL_MILLISECONDS, TimeUnit.MILLISECONDS);
+	}
+
+	private synchronized void releaseHeld() {
+		if (this.network.cut(this.from, this.to)) {
+			pollCut();
+			return;
+		}
+		while (!this.held.isEmpty()) {
+			ByteBuf data = this.held.poll();
+			if (data.isReadable()) {
+				send(data);
+			}
+			else {
+				close();
+			}
+		}
+	}
+
+	private void send(ByteBuf data) {
+		long now = System.nanoTime();
+		int bytes = data.readableBytes();
+		long arrival = this.network.arrivalOfSegments(now, this.from, this.to, bytes);
+		this.lastArrival = Math.max(this.lastArrival, arrival);
+		at(now, () -> deliver(data, bytes));
+	}
+
+	private void close() {
+		at(System.nanoTime(),
+				() -> this.target.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE));
+	}
+
+	private void at(long now, Runnable action) {
+		if (this.lastArrival <= now && this.scheduled.isEmpty()) {
+			action.run();
+			return;
+		}
+		this.scheduled.add(action);
+		this.timer.schedule(this::runNext, Math.max(0, this.lastArrival - now), TimeUnit.NANOSECONDS);
+	}
+
+	// Timers of nearly equal time fire in any order; each runs the oldest action.
+	private synchronized void runNext() {
+		this.scheduled.remove().run();
+	}
+
+	private void deliver(ByteBuf data, int bytes) {
+		this.pendingBytes -= bytes;
+		if (this.pendingBytes <= MAXIMUM_PENDING_BYTES / 2) {
+			this.source.config().setAutoRead(true);
+		}
+		if (this.silenced) {
+			data.release();
+			return;
+		}
+		this.target.writeAndFlush(data);
+	}
+
+}
