--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/Deployment.java
@@ -0,0 +1,202 @@
+package org.wasabicart.experiment.harness;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A deployment that runs: store, relay, backend servers and nodes.
+ */
+public final class Deployment implements AutoCloseable {
+
+	/** Store key of the configuration. */
+	public static final String CONFIGURATION_KEY = "/wasabicart/configuration";
+
+	private static final Duration READY_TIMEOUT = Duration.ofSeconds(30);
+
+	private final DeploymentPlan plan;
+
+	private final AddressPlan addresses;
+
+	private final ControlMode mode;
+
+	private final DeploymentLauncher launcher;
+
+	private final HttpControl control = new HttpControl();
+
+	private final List<DeployedNode> nodes = new ArrayList<>();
+
+	private final Map<String, ManagedProcess> processes = new LinkedHashMap<>();
+
+	private Deployment(ProcessHarness harness, DeploymentPlan plan, ControlMode mode, String prefix)
+			throws IOException {
+		this.plan = plan;
+		this.mode = mode;
+		this.addresses = AddressPlan.free(prefix);
+		this.launcher = new DeploymentLauncher(harness, plan, this.addresses, mode);
+		int index = 0;
+		for (ServiceModel service : plan.services()) {
+			for (DomainModel domain : plan.domains()) {
+				for (int server = 0; server < service.serversPerDomain(); server++) {
+					String name = service.name() + "-" + domain.name() + "-" + server;
+					this.nodes.add(new DeployedNode(index, name, service.name(), domain,
+							"http://" + this.addresses.http(index), "http://" + this.addresses.localHttp(index),
+							this.addresses.listen(index), this.addresses.advertised(index),
+							this.addresses.backend(index)));
+					index++;
+				}
+			}
+		}
+	}
+
+	/**
+	 * Starts all processes and publishes the configuration, but does not wait until the
+	 * nodes are ready.
+	 * @param harness harness that ends the processes
+	 * @param plan plan
+	 * @param mode control mode of the nodes
+	 * @param prefix first two numbers of the addresses
+	 * @return the deployment
+	 * @throws IOException if a process cannot be started
+	 * @throws InterruptedException if interrupted
+	 */
+	public static Deployment start(ProcessHarness harness, DeploymentPlan plan, ControlMode mode, String prefix)
+			throws IOException, InterruptedException {
+		Deployment deployment = new Deployment(harness, plan, mode, prefix);
+		deployment.processes.put("store", deployment.launcher.startStore());
+		deployment.processes.put("relay", deployment.launcher.startRelay(deployment.nodes));
+		deployment.processes.put("backends", deployment.launcher.startBackends(deployment.nodes));
+		deployment.control.awaitOk(deployment.storeUrl() + "/standin/counts", READY_TIMEOUT);
+		deployment.publish(new ConfigurationWriter(plan).json());
+		for (DeployedNode node : deployment.nodes) {
+			deployment.startNode(node);
+		}
+		return deployment;
+	}
+
+	/**
+	 * Starts the process of a node, for the first time or again.
+	 * @param node node
+	 * @return the process
+	 * @throws IOException if it cannot be started
+	 */
+	public ManagedProcess startNode(DeployedNode node) throws IOException {
+		ManagedProcess process = this.launcher.startNode(node, this.nodes);
+		this.processes.put(node.name(), process);
+		return process;
+	}
+
+	/**
+	 * Waits until all nodes are ready.
+	 * @throws IOException if they are not ready in time
+	 * @throws InterruptedException if interrupted
+	 */
+	public void awaitReady() throws IOException, InterruptedException {
+		for (DeployedNode node : this.nodes) {
+			try {
+				this.control.awaitOk(node.httpUrl() + "/health/ready", READY_TIMEOUT);
+			}
+			catch (IOException ex) {
+				throw new IOException(ex.getMessage() + "; log: " + tail(process(node.name()).log()), ex);
+			}
+		}
+	}
+
+	private static String tail(Path log) throws IOException {
+		String text = Files.readString(log);
+		return text.substring(Math.max(0, text.length() - 2000));
+	}
+
+	/**
+	 * Writes a configuration to the store.
+	 * @param json configuration
+	 * @throws IOException if the store does not answer
+	 * @throws InterruptedException if interrupted
+	 */
+	public void publish(String json) throws IOException, InterruptedException {
+		Base64.Encoder encoder = Base64.getEncoder();
+		String key = encoder.encodeToString(CONFIGURATION_KEY.getBytes(StandardCharsets.UTF_8));
+		String value = encoder.encodeToString(json.getBytes(StandardCharsets.UTF_8));
+		this.control.post(storeUrl() + "/v3/kv/put", "{\"key\":\"" + key + "\",\"value\":\"" + value + "\"}");
+	}
+
+	public DeploymentPlan plan() {
+		return this.plan;
+	}
+
+	public ControlMode mode() {
+		return this.mode;
+	}
+
+	/**
+	 * Returns all nodes.
+	 * @return the nodes in the order of services and failure domains
+	 */
+	public List<DeployedNode> nodes() {
+		return List.copyOf(this.nodes);
+	}
+
+	/**
+	 * Returns the nodes of one service.
+	 * @param service service
+	 * @return its nodes
+	 */
+	public List<DeployedNode> nodes(String service) {
+		return this.nodes.stream().filter((node) -> node.service().equals(service)).toList();
+	}
+
+	/**
+	 * Returns the process of a node, or of {@code store}, {@code relay} or
+	 * {@code backends}.
+	 * @param name node id or name
+	 * @return the process
+	 */
+	public ManagedProcess process(String name) {
+		return this.processes.get(name);
+	}
+
+	/**
+	 * Returns the address of the store.
+	 * @return the URL
+	 */
+	public String storeUrl() {
+		return "http://" + this.addresses.store();
+	}
+
+	/**
+	 * Returns the address of the relay's control endpoints.
+	 * @return the URL
+	 */
+	public String relayUrl() {
+		return "http://" + this.addresses.relayControl();
+	}
+
+	/**
+	 * Returns the history of the backend servers' runs.
+	 * @return the file
+	 */
+	public Path history() {
+		return this.launcher.history();
+	}
+
+	/**
+	 * Returns the client for stand-ins and nodes.
+	 * @return the client
+	 */
+	public HttpControl control() {
+		return this.control;
+	}
+
+	@Override
+	public void close() {
+		ProcessHarness.end(List.copyOf(this.processes.values()));
+	}
+
+}
--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/DeploymentPlan.java
@@ -0,0 +1,69 @@
+package org.wasabicart.experiment.harness;
+
+import java.util.List;
+
+/**
+ * What a deployment consists of.
+ *
+ * @param name name of the deployment
+ * @param domains failure domains
+ * @param services services
+ * @param kinds request kinds
+ * @param domainMilliseconds one-way delay between failure domains of a region
+ * @param regionMilliseconds one-way delay between regions
+ * @param regionMegabits capacity of the link between regions, in Mbit/s each way
+ */
+public record DeploymentPlan(String name, List<DomainModel> domains, List<ServiceModel> services, List<KindModel> kinds,
+		double domainMilliseconds, double regionMilliseconds, double regionMegabits) {
+
+	/** Tenant of all requests. */
+	public static final String TENANT = "shop";
+
+	public DeploymentPlan {
+		domains = List.copyOf(domains);
+		services = List.copyOf(services);
+		kinds = List.copyOf(kinds);
+	}
+
+	/**
+	 * Finds a service.
+	 * @param name service
+	 * @return the service
+	 */
+	public ServiceModel service(String name) {
+		return this.services.stream().filter((service) -> service.name().equals(name)).findFirst().orElseThrow();
+	}
+
+	/**
+	 * Finds a kind.
+	 * @param name kind
+	 * @return the kind
+	 */
+	public KindModel kind(String name) {
+		return this.kinds.stream().filter((kind) -> kind.name().equals(name)).findFirst().orElseThrow();
+	}
+
+	/**
+	 * Returns the service that bounds the goodput when each request uses each service
+	 * once.
+	 * @return the service with the lowest capacity
+	 */
+	public ServiceModel bottleneck() {
+		ServiceModel lowest = this.services.get(0);
+		for (ServiceModel service : this.services) {
+			if (service.capacity(this.domains.size()) < lowest.capacity(this.domains.size())) {
+				lowest = service;
+			}
+		}
+		return lowest;
+	}
+
+	/**
+	 * Returns the capacity of the bottleneck service by slots and service time.
+	 * @return requests each second
+	 */
+	public double capacity() {
+		return bottleneck().capacity(this.domains.size());
+	}
+
+}
--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/ProcessHarness.java
@@ -0,0 +1,134 @@
+package org.wasabicart.experiment.harness;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+
+/**
+ * Starts Java processes with the class path of this process, and ends all of them when it
+ * is closed or this process ends, including after Ctrl-C. Files of a run are in one
+ * temporary directory, which is deleted too.
+ */
+public final class ProcessHarness implements AutoCloseable {
+
+	private static final long END_SECONDS = 5;
+
+	private final List<ManagedProcess> processes = Collections.synchronizedList(new ArrayList<>());
+
+	private final Path directory;
+
+	private final Thread hook = new Thread(this::endAll, "process-harness-end");
+
+	private boolean closed;
+
+	/**
+	 * Creates a harness without processes.
+	 * @throws IOException if the temporary directory cannot be created
+	 */
+	public ProcessHarness() throws IOException {
+		this.directory = Files.createTempDirectory("wasabicart-experiment");
+		Runtime.getRuntime().addShutdownHook(this.hook);
+	}
+
+	/**
+	 * Returns the directory for files of this run.
+	 * @return the directory, deleted when the harness is closed
+	 */
+	public Path directory() {
+		return this.directory;
+	}
+
+	/**
+	 * Starts a Java process.
+	 * @param name unique name, also of its log file
+	 * @param jvmFlags flags of the JVM
+	 * @param mainClass main class
+	 * @param arguments arguments of the main class
+	 * @return the process
+	 * @throws IOException if it cannot be started
+	 */
+	public synchronized ManagedProcess startJava(String name, List<String> jvmFlags, String mainClass,
+			List<String> arguments) throws IOException {
+		if (this.closed) {
+			throw new IOException("Harness is closed");
+		}
+		List<String> command = new ArrayList<>();
+		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+		command.addAll(jvmFlags);
+		command.add("-cp");
+		command.add(System.getProperty("java.class.path"));
+		command.add(mainClass);
+		command.addAll(arguments);
+		Path log = this.directory.resolve(name + ".log");
+		Process process = new ProcessBuilder(command).redirectErrorStream(true)
+			.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+			.start();
+		ManagedProcess managed = new ManagedProcess(name, process, log);
+		this.processes.add(managed);
+		return managed;
+	}
+
+	/**
+	 * Returns the processes that were started.
+	 * @return the processes, ended ones included
+	 */
+	public List<ManagedProcess> processes() {
+		return List.copyOf(this.processes);
+	}
+
+	/**
+	 * Ends the processes given.
+	 * @param ended processes
+	 */
+	public static void end(List<ManagedProcess> ended) {
+		try {
+			for (ManagedProcess process : ended) {
+				process.signal(ProcessSignal.KILL);
+			}
+			for (ManagedProcess process : ended) {
+				process.awaitEnd(END_SECONDS);
+			}
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private synchronized void endAll() {
+		this.closed = true;
+		end(processes());
+		deleteDirectory();
+	}
+
+	private void deleteDirectory() {
+		try (Stream<Path> files = Files.walk(this.directory)) {
+			for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+				Files.deleteIfExists(file);
+			}
+		}
+		catch (IOException ex) {
+			System.err.println("Temporary files were not deleted: " + ex.getMessage());
+		}
+	}
+
+	@Override
+	public void close() {
+		endAll();
+		try {
+			Runtime.getRuntime().removeShutdownHook(this.hook);
+		}
+		catch (IllegalStateException ex) {
+			// The JVM is already shutting down and the hook runs.
+			return;
+		}
+	}
+
+}
