--- a/wasabicart-command/src/main/java/org/wasabicart/command/CommandMain.java
+++ b/wasabicart-command/src/main/java/org/wasabicart/command/CommandMain.java
@@ -13,7 +13,9 @@
 import org.wasabicart.experiment.Experiment;
 import org.wasabicart.experiment.ExperimentRegistry;
 import org.wasabicart.experiment.ExperimentRunner;
+import org.wasabicart.node.NodeMain;
 import org.wasabicart.standin.backend.BackendMain;
+import org.wasabicart.standin.relay.RelayMain;
 import org.wasabicart.standin.store.StoreMain;
 
 /**
@@ -28,9 +30,10 @@
 	private final List<Command> commands = List.of(new CheckCommand(), new ShowCommand(), new DifferenceCommand(),
 			new PublishCommand(), new StatusCommand());
 
-	private final List<ProgramCommand> programs = List.of(
+	private final List<ProgramCommand> programs = List.of(new ProgramCommand("node", "run a node", NodeMain::main),
 			new ProgramCommand("store", "run the store stand-in", StoreMain::main),
-			new ProgramCommand("backend", "run the backend server model", BackendMain::main));
+			new ProgramCommand("backend", "run the backend server model", BackendMain::main),
+			new ProgramCommand("relay", "run the network relay", RelayMain::main));
 
 	private final PrintStream output;
 
