--- a/wasabicart-core/src/main/java/org/wasabicart/core/link/BodyAssembler.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/link/BodyAssembler.java
@@ -29,14 +29,16 @@
 	}
 
 	/**
-	 * Adds a chunk.
+	 * Adds a chunk. A chunk at another position than the next one makes the body invalid,
+	 * so a repeated, lost or reordered chunk of the same length cannot go unnoticed.
+	 * @param offset position of the chunk within the body
 	 * @param data bytes of the chunk
 	 * @param end whether the sender marked it as the last one
 	 * @return state of the body after it
 	 */
-	public BodyState add(byte[] data, boolean end) {
+	public BodyState add(long offset, byte[] data, boolean end) {
 		Objects.requireNonNull(data, "data");
-		boolean fits = data.length <= this.body.length - this.received;
+		boolean fits = offset == this.received && data.length <= this.body.length - this.received;
 		if (this.ended || !fits || (end && this.received + data.length != this.body.length)) {
 			this.ended = true;
 			return BodyState.INVALID;
--- a/wasabicart-node/src/main/java/org/wasabicart/node/link/BodyWriter.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/link/BodyWriter.java
@@ -100,6 +100,7 @@
 			.setEpoch(this.epoch)
 			.setStream(slice.stream())
 			.setData(message.body().substring(slice.offset(), slice.offset() + slice.length()))
+			.setOffset(slice.offset())
 			.setEnd(slice.end())
 			.build();
 		this.channel.write(Frame.newBuilder().setChunk(chunk).build());
--- a/wasabicart-node/src/main/java/org/wasabicart/node/link/ClientLink.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/link/ClientLink.java
@@ -174,7 +174,7 @@
 		if (stream == null) {
 			return;
 		}
-		BodyState state = stream.hasHead() ? stream.chunk(chunk.getData(), chunk.getEnd()) : BodyState.INVALID;
+		BodyState state = stream.hasHead() ? stream.chunk(chunk) : BodyState.INVALID;
 		switch (state) {
 			case PARTIAL -> grant(stream);
 			case COMPLETE -> {
--- a/wasabicart-node/src/main/java/org/wasabicart/node/link/ClientStream.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/link/ClientStream.java
@@ -1,12 +1,12 @@
 package org.wasabicart.node.link;
 
-import com.google.protobuf.ByteString;
 import io.netty.util.concurrent.Future;
 
 import org.wasabicart.core.link.BodyAssembler;
 import org.wasabicart.core.link.BodyState;
 import org.wasabicart.core.model.FailureReason;
 import org.wasabicart.core.model.RefusalReason;
+import org.wasabicart.wire.generated.link.Chunk;
 import org.wasabicart.wire.generated.link.Frame;
 import org.wasabicart.wire.generated.link.Response;
 
@@ -78,8 +78,8 @@
 		this.assembler = new BodyAssembler((int) response.getBodyBytes(), windowBytes);
 	}
 
-	final BodyState chunk(ByteString data, boolean end) {
-		return this.assembler.add(data.toByteArray(), end);
+	final BodyState chunk(Chunk chunk) {
+		return this.assembler.add(chunk.getOffset(), chunk.getData().toByteArray(), chunk.getEnd());
 	}
 
 	final int takeGrant() {
--- a/wasabicart-node/src/main/java/org/wasabicart/node/link/ServerLink.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/link/ServerLink.java
@@ -118,7 +118,7 @@
 		if (stream == null || !stream.receiving()) {
 			return;
 		}
-		switch (stream.assembler().add(chunk.getData().toByteArray(), chunk.getEnd())) {
+		switch (stream.assembler().add(chunk.getOffset(), chunk.getData().toByteArray(), chunk.getEnd())) {
 			case PARTIAL -> grant(stream);
 			case COMPLETE -> {
 				release(stream);
