--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendServer.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendServer.java
@@ -183,8 +183,9 @@
 			this.queue.release();
 			return;
 		}
-		this.environment.history().write("start", run, "");
 		long microseconds = this.behaviour.nextServiceMicroseconds();
+		run.serviceMicroseconds(microseconds);
+		this.environment.history().write("start", run, "");
 		run.add(this.environment.timer().schedule(() -> callOthers(run), microseconds, TimeUnit.MICROSECONDS));
 	}
 
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/Run.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/Run.java
@@ -26,6 +26,8 @@
 
 	private State state = State.WAITING;
 
+	private long serviceMicroseconds;
+
 	Run(long id, String service, String server, RunRequest request) {
 		this.id = id;
 		this.service = service;
@@ -69,6 +71,14 @@
 		return this.response;
 	}
 
+	long serviceMicroseconds() {
+		return this.serviceMicroseconds;
+	}
+
+	void serviceMicroseconds(long microseconds) {
+		this.serviceMicroseconds = microseconds;
+	}
+
 	/**
 	 * Moves from waiting to running.
 	 * @return whether the run may start
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/RunHistory.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/RunHistory.java
@@ -62,7 +62,8 @@
 			.put("root", run.root())
 			.put("kind", run.kind())
 			.put("ticket", run.ticket())
-			.put("path", run.path());
+			.put("path", run.path())
+			.put("serviceMicroseconds", run.serviceMicroseconds());
 		if (!result.isEmpty()) {
 			line.put("result", result);
 		}
--- /dev/null
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/caller/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Callers: an open-loop load generator with impatient clients.
+ */
+package org.wasabicart.standin.caller;
