Assemble the node from core decisions, links and membership

The shared key is now required, since links prove it.

ClientRequestTable: a send that was refused never made an attempt, so the client's repetition of it costs no retry. Otherwise a client that obeys Retry-After under overload would use up its allowance without a single attempt and be refused for the retention time.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/retry/ClientRequestTable.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/retry/ClientRequestTable.java
@@ -20,7 +20,7 @@
  * ClientRequestTable.Entry entry = table.begin(tenant, requestId, kind.retryAllowance());
  * if (entry.decision() == ClientRequestTable.Decision.ADMITTED) {
  *     // run the request with entry.allowance(), then:
- *     table.end(tenant, requestId);
+ *     table.end(tenant, requestId, neverRan);
  * }
  * }</pre>
  */
@@ -66,7 +66,7 @@
 
 	/**
 	 * Begins one send of a request. A repeated send takes one retry from the allowance of
-	 * the first.
+	 * the first, unless all earlier sends have ended and never ran.
 	 * @param tenant tenant
 	 * @param id request id
 	 * @param retryAllowance allowance of the kind, used for the first send only
@@ -78,7 +78,8 @@
 		Key key = new Key(tenant, id);
 		Request known = this.requests.get(key);
 		if (known != null) {
-			boolean spent = known.allowance.tryToSpend();
+			boolean free = known.running == 0 && !known.mayHaveRun;
+			boolean spent = free || known.allowance.tryToSpend();
 			known.running += spent ? 1 : 0;
 			return new Entry(spent ? Decision.ADMITTED : Decision.ALLOWANCE_SPENT, known.allowance);
 		}
@@ -96,14 +97,16 @@
 	 * Ends one admitted send. The request is remembered for the retention time.
 	 * @param tenant tenant
 	 * @param id request id
+	 * @param neverRan whether the send was refused, so that it made no attempt
 	 */
-	public synchronized void end(TenantName tenant, RequestId id) {
+	public synchronized void end(TenantName tenant, RequestId id, boolean neverRan) {
 		Key key = new Key(tenant, id);
 		Request request = this.requests.get(key);
 		if (request == null || request.running == 0) {
 			return;
 		}
 		request.running--;
+		request.mayHaveRun |= !neverRan;
 		request.ended = this.ticker.nanoseconds();
 		this.requests.remove(key);
 		this.requests.put(key, request);
@@ -175,6 +178,8 @@
 
 		private int running;
 
+		private boolean mayHaveRun;
+
 		private long ended;
 
 		private Request(RetryAllowance allowance) {
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/MembershipService.java
@@ -0,0 +1,80 @@
+package org.wasabicart.node;
+
+import java.io.IOException;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+import org.wasabicart.core.model.Member;
+import org.wasabicart.core.model.MemberState;
+import org.wasabicart.core.model.ServiceName;
+import org.wasabicart.node.membership.LocalAnnouncement;
+import org.wasabicart.node.membership.MembershipListener;
+import org.wasabicart.node.membership.MembershipRunner;
+import org.wasabicart.node.membership.MembershipRunnerSettings;
+
+/**
+ * Membership as a service of the node: announces the local backend server, and passes the
+ * members on to the router.
+ */
+final class MembershipService implements NodeService {
+
+	private static final long SHUTDOWN_MILLISECONDS = 1000;
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+			new DefaultThreadFactory("membership", true), NioIoHandler.newFactory());
+
+	private final NodeParts parts;
+
+	private final MembershipRunner runner;
+
+	MembershipService(NodeParts parts, byte[] sharedKey, MembershipListener listener) {
+		this.parts = parts;
+		MembershipRunnerSettings settings = new MembershipRunnerSettings(parts.settings().nodeId(), parts.instance(),
+				parts.settings().failureDomain(), parts.settings().region(), parts.settings().listenAddress(),
+				parts.settings().advertisedAddress(), parts.settings().seeds(), Optional.of(sharedKey));
+		this.runner = new MembershipRunner(settings, this.group, this::announcement, listener);
+	}
+
+	private LocalAnnouncement announcement() {
+		LocalServerHolder local = this.parts.localServer();
+		Optional<LocalServer> server = local.server();
+		ServiceName service = server.map(LocalServer::service).orElse(LocalAnnouncement.UNANNOUNCED);
+		// The backend server can lapse between the two reads.
+		MemberState state = (server.isEmpty() && !local.draining()) ? MemberState.STARTING : local.state();
+		return new LocalAnnouncement(service, state, server.map(LocalServer::slots).orElse(0),
+				this.parts.configuration().current().revision());
+	}
+
+	@Override
+	public void start() throws IOException {
+		try {
+			this.runner.start();
+		}
+		catch (RuntimeException ex) {
+			throw new IOException("Cannot start membership on " + this.parts.settings().listenAddress(), ex);
+		}
+		this.parts.localServer().addListener(this.runner::announcementChanged);
+		this.parts.configuration().addListener((snapshot) -> this.runner.announcementChanged());
+	}
+
+	Collection<Member> members() {
+		return this.runner.members();
+	}
+
+	MembershipRunner runner() {
+		return this.runner;
+	}
+
+	@Override
+	public void close() {
+		this.runner.close();
+		this.group.shutdownGracefully(0, SHUTDOWN_MILLISECONDS, TimeUnit.MILLISECONDS);
+	}
+
+}
--- a/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
@@ -15,6 +15,7 @@
 import org.jboss.logging.Logger;
 
 import org.wasabicart.core.model.Execution;
+import org.wasabicart.core.retry.ClientRequestTable;
 import org.wasabicart.node.http.NodeHttpServers;
 import org.wasabicart.node.http.PekkoBackendExit;
 import org.wasabicart.node.peer.CallHandler;
@@ -29,7 +30,6 @@
 import org.wasabicart.node.request.PlainRetryPolicy;
 import org.wasabicart.node.request.RequestFilter;
 import org.wasabicart.node.request.RetryPolicy;
-import org.wasabicart.node.request.RootAllowances;
 import org.wasabicart.node.request.RoutingHandler;
 import org.wasabicart.node.settings.ControlMode;
 
@@ -45,9 +45,6 @@
 
 	private static final long ANNOUNCEMENT_TICK_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(250);
 
-	/** Request ids of clients that are remembered for their retry allowance. */
-	private static final int REMEMBERED_REQUESTS = 4096;
-
 	/**
 	 * Shortest time between the announcement of draining and the end of the process, in
 	 * which peers learn of it.
@@ -93,9 +90,9 @@
 				NodeHttpServers.BODY_LIMIT_BYTES);
 		this.serving = servingSide();
 		this.entry = entrySide();
-		RootAllowances allowances = new RootAllowances(REMEMBERED_REQUESTS, decisions.allowances());
+		ClientRequestTable requests = new ClientRequestTable(parts.ticker());
 		this.servers = new NodeHttpServers(this.system, parts.ticker(), parts.random(), parts.configuration(),
-				parts.localServer(), contexts, allowances, this.entry, (request) -> Optional.empty());
+				parts.localServer(), contexts, requests, this.entry, (request) -> Optional.empty());
 	}
 
 	private CallHandler servingSide() {
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
@@ -0,0 +1,118 @@
+package org.wasabicart.node;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.DoubleSupplier;
+import java.util.random.RandomGenerator;
+
+import org.wasabicart.core.Ticker;
+import org.wasabicart.core.admission.AdmissionControllers;
+import org.wasabicart.core.model.InstanceNumber;
+import org.wasabicart.core.model.RequestKind;
+import org.wasabicart.core.model.ServiceName;
+import org.wasabicart.core.model.ServicePolicy;
+import org.wasabicart.core.model.TenantName;
+import org.wasabicart.core.model.TenantPolicy;
+import org.wasabicart.core.retry.RetryAllowances;
+import org.wasabicart.core.retry.RetryBudgets;
+import org.wasabicart.core.routing.EarlyRefusals;
+import org.wasabicart.core.routing.RegionLink;
+import org.wasabicart.core.routing.Routers;
+import org.wasabicart.node.link.LinkIdentity;
+import org.wasabicart.node.link.LinkLimits;
+import org.wasabicart.node.link.LinkTransport;
+import org.wasabicart.node.peer.ControlHandler;
+import org.wasabicart.node.request.LocalAdmission;
+import org.wasabicart.node.settings.NodeSettings;
+import org.wasabicart.wire.generated.link.ControlResponse;
+
+/**
+ * Assembles the node of a process from its settings.
+ */
+final class NodeAssembly {
+
+	private final NodeSettings settings;
+
+	private final Ticker ticker = System::nanoTime;
+
+	private final RandomGenerator random = new SecureRandom();
+
+	private final ConfigurationHolder configuration = new ConfigurationHolder();
+
+	private NodeAssembly(NodeSettings settings) {
+		this.settings = settings;
+	}
+
+	/**
+	 * Assembles a node.
+	 * @param settings settings
+	 * @return the node, not started
+	 * @throws IOException if the shared key cannot be read
+	 */
+	static Node assemble(NodeSettings settings) throws IOException {
+		return new NodeAssembly(settings).assemble();
+	}
+
+	private Node assemble() throws IOException {
+		byte[] sharedKey = Files.readAllBytes(this.settings.sharedKeyFile());
+		// A later run of the node has a higher number, as far as the VM's clock allows.
+		InstanceNumber instance = new InstanceNumber(System.currentTimeMillis());
+		NodeParts parts = new NodeParts(this.settings, instance, this.ticker, this.random, this.configuration,
+				new LocalServerHolder(this.ticker), decisions(), List.of(), List.of());
+		Node node = new Node(parts);
+		LinkTransport links = links(instance, sharedKey);
+		node.connect(links);
+		node.addService(new LinkService(links, node.peerHandler(), controls()));
+		node.addService(new MembershipService(parts, sharedKey, parts.decisions().router()::updateMembers));
+		return node;
+	}
+
+	private LinkTransport links(InstanceNumber instance, byte[] sharedKey) {
+		InetSocketAddress listen = new InetSocketAddress(this.settings.listenAddress().host(),
+				this.settings.listenAddress().port());
+		return new LinkTransport(new LinkIdentity(this.settings.nodeId(), instance), listen, sharedKey,
+				LinkLimits.DEFAULT, this.ticker, this.random);
+	}
+
+	private static ControlHandler controls() {
+		return (request) -> CompletableFuture.completedFuture(ControlResponse.getDefaultInstance());
+	}
+
+	private Decisions decisions() {
+		RegionLink regionLink = new RegionLink(this.ticker);
+		return switch (this.settings.control()) {
+			case WASABICART -> new Decisions(adaptiveAdmission(),
+					Routers.locality(this.settings.failureDomain(), this.settings.region(), regionLink, this.ticker,
+							this.random),
+					EarlyRefusals.learning(
+							(kind) -> this.configuration.current().kind(kind).map(RequestKind::entryService),
+							this.ticker, this.random),
+					RetryAllowances::bounded, (service) -> RetryBudgets.earned(budgetRatio(service)));
+			case FIXED ->
+				baseline((policy) -> AdmissionControllers.fixed(policy, this.ticker, this.random), regionLink);
+			case NONE -> baseline((policy) -> AdmissionControllers.none(this.ticker), regionLink);
+		};
+	}
+
+	private LocalAdmission.AdmissionFactory adaptiveAdmission() {
+		return (policy) -> AdmissionControllers.adaptive(policy, this::share, this.ticker, this.random);
+	}
+
+	private double share(TenantName tenant) {
+		return this.configuration.current().tenant(tenant).map(TenantPolicy::share).orElse(1.0);
+	}
+
+	private DoubleSupplier budgetRatio(ServiceName service) {
+		return () -> this.configuration.current().service(service).map(ServicePolicy::retryBudgetRatio).orElse(0.0);
+	}
+
+	private Decisions baseline(LocalAdmission.AdmissionFactory admission, RegionLink regionLink) {
+		return new Decisions(admission, Routers.random(this.settings.region(), regionLink, this.random),
+				EarlyRefusals.none(), RetryAllowances::bounded, (service) -> RetryBudgets.unlimited());
+	}
+
+}
--- a/wasabicart-node/src/main/java/org/wasabicart/node/baseline/package-info.java
+++ /dev/null
@@ -1,4 +0,0 @@
-/**
- * Simple decisions: baselines for comparison in experiments.
- */
-package org.wasabicart.node.baseline;
--- a/wasabicart-node/src/main/java/org/wasabicart/node/http/CallerApi.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/http/CallerApi.java
@@ -10,15 +10,17 @@
 import org.apache.pekko.http.javadsl.model.headers.Connection;
 import org.apache.pekko.stream.Materializer;
 
+import org.wasabicart.core.model.Outcome;
 import org.wasabicart.core.model.RefusalReason;
 import org.wasabicart.core.model.RequestContext;
+import org.wasabicart.core.retry.ClientRequestTable;
+import org.wasabicart.core.retry.RetryAllowance;
 import org.wasabicart.node.LocalServerHolder;
 import org.wasabicart.node.peer.CallHandler;
 import org.wasabicart.node.peer.CallRequest;
 import org.wasabicart.node.peer.PeerCall;
 import org.wasabicart.node.peer.PeerCallListener;
 import org.wasabicart.node.request.Outcomes;
-import org.wasabicart.node.request.RootAllowances;
 
 /**
  * HTTP interface for callers. The node's own paths are left to the operators' interface.
@@ -35,7 +37,7 @@
 
 	private final LocalServerHolder state;
 
-	private final RootAllowances allowances;
+	private final ClientRequestTable requests;
 
 	private final CallHandler entry;
 
@@ -44,12 +46,12 @@
 	private final Materializer materializer;
 
 	CallerApi(RequestReader reader, CallRunner runner, ResponseWriter writer, LocalServerHolder state,
-			RootAllowances allowances, CallHandler entry, OperatorApi operators, Materializer materializer) {
+			ClientRequestTable requests, CallHandler entry, OperatorApi operators, Materializer materializer) {
 		this.reader = reader;
 		this.runner = runner;
 		this.writer = writer;
 		this.state = state;
-		this.allowances = allowances;
+		this.requests = requests;
 		this.entry = entry;
 		this.operators = operators;
 		this.materializer = materializer;
@@ -84,16 +86,19 @@
 	// Runs a request under an id that the client may have sent before.
 	private PeerCall repeatable(CallRequest call, PeerCallListener listener) {
 		RequestContext context = call.context();
-		Optional<RootAllowances.Send> send = this.allowances.begin(context.tenant(), context.root(),
+		ClientRequestTable.Entry known = this.requests.begin(context.tenant(), context.root(),
 				context.retryAllowance());
-		if (send.isEmpty()) {
-			listener.finished(Outcomes.refused(call, RefusalReason.OVERLOADED, RETRY_AFTER));
+		if (known.decision() != ClientRequestTable.Decision.ADMITTED) {
+			boolean full = known.decision() == ClientRequestTable.Decision.TABLE_FULL;
+			listener.finished(
+					Outcomes.refused(call, full ? RefusalReason.TABLE_FULL : RefusalReason.OVERLOADED, RETRY_AFTER));
 			return () -> {
 			};
 		}
-		CallRequest bounded = Outcomes.withAllowance(call, send.get().size());
-		return this.entry.handle(bounded, (response) -> {
-			send.get().end(response.outcome(), response.unspentRetryAllowance());
+		RetryAllowance.Reservation part = known.allowance().reserve(known.allowance().available());
+		return this.entry.handle(Outcomes.withAllowance(call, part.size()), (response) -> {
+			part.giveBack(response.unspentRetryAllowance());
+			this.requests.end(context.tenant(), context.root(), response.outcome() instanceof Outcome.Refused);
 			listener.finished(response);
 		});
 	}
--- a/wasabicart-node/src/main/java/org/wasabicart/node/http/NodeHttpServers.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/http/NodeHttpServers.java
@@ -11,11 +11,11 @@
 
 import org.wasabicart.core.Ticker;
 import org.wasabicart.core.model.NodeAddress;
+import org.wasabicart.core.retry.ClientRequestTable;
 import org.wasabicart.node.ConfigurationHolder;
 import org.wasabicart.node.LocalServerHolder;
 import org.wasabicart.node.peer.CallHandler;
 import org.wasabicart.node.request.ContextTable;
-import org.wasabicart.node.request.RootAllowances;
 
 /**
  * The node's two HTTP servers: for callers and operators, and for the local backend
@@ -42,12 +42,12 @@
 	 * @param configuration configuration in force
 	 * @param localServer receives announcements
 	 * @param contexts table of running calls
-	 * @param allowances allowances of repeated root requests
+	 * @param requests allowances of repeated root requests
 	 * @param entry entry side of the request path
 	 * @param operators the node's own paths
 	 */
 	public NodeHttpServers(ActorSystem system, Ticker ticker, RandomGenerator random, ConfigurationHolder configuration,
-			LocalServerHolder localServer, ContextTable contexts, RootAllowances allowances, CallHandler entry,
+			LocalServerHolder localServer, ContextTable contexts, ClientRequestTable requests, CallHandler entry,
 			OperatorApi operators) {
 		Objects.requireNonNull(entry, "entry");
 		Materializer materializer = SystemMaterializer.get(system).materializer();
@@ -57,7 +57,7 @@
 		this.callerRunner = new CallRunner(materializer, writer, BODY_LIMIT_BYTES);
 		this.nestedRunner = new CallRunner(materializer, writer, BODY_LIMIT_BYTES);
 		this.callers = new HttpListener(system, settings, new CallerApi(reader, this.callerRunner, writer, localServer,
-				allowances, entry, operators, materializer));
+				requests, entry, operators, materializer));
 		this.local = new HttpListener(system, settings,
 				new LocalApi(reader, this.nestedRunner, writer, localServer, entry, materializer));
 	}
--- a/wasabicart-node/src/main/java/org/wasabicart/node/request/BoundedRetryPolicy.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/BoundedRetryPolicy.java
@@ -1,6 +1,6 @@
 package org.wasabicart.node.request;
 
-import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.function.Function;
@@ -10,6 +10,7 @@
 import org.wasabicart.core.model.Execution;
 import org.wasabicart.core.model.Outcome;
 import org.wasabicart.core.model.ServiceName;
+import org.wasabicart.core.retry.Backoff;
 import org.wasabicart.core.retry.RetryAllowance;
 import org.wasabicart.core.retry.RetryBudget;
 import org.wasabicart.node.ConfigurationHolder;
@@ -21,12 +22,6 @@
  */
 public final class BoundedRetryPolicy implements RetryPolicy {
 
-	private static final long BASE_BACKOFF_NANOSECONDS = Duration.ofMillis(10).toNanos();
-
-	private static final long MAXIMUM_BACKOFF_NANOSECONDS = Duration.ofMillis(200).toNanos();
-
-	private static final int MAXIMUM_DOUBLINGS = 10;
-
 	private final ConcurrentMap<ServiceName, RetryBudget> budgets = new ConcurrentHashMap<>();
 
 	private final ConfigurationHolder configuration;
@@ -35,7 +30,7 @@
 
 	private final Function<ServiceName, RetryBudget> budgetFactory;
 
-	private final RandomGenerator random;
+	private final Backoff backoff;
 
 	/**
 	 * Creates a policy.
@@ -49,9 +44,7 @@
 		this.configuration = configuration;
 		this.allowances = allowances;
 		this.budgetFactory = budgetFactory;
-		this.random = random;
-		// A change of the operations lead's ratio starts the budgets afresh.
-		configuration.addListener((snapshot) -> this.budgets.clear());
+		this.backoff = new Backoff(random);
 	}
 
 	@Override
@@ -96,9 +89,8 @@
 	}
 
 	@Override
-	public long backoffNanoseconds(int retry) {
-		long bound = BASE_BACKOFF_NANOSECONDS << Math.min(retry - 1, MAXIMUM_DOUBLINGS);
-		return this.random.nextLong(Math.min(bound, MAXIMUM_BACKOFF_NANOSECONDS) + 1);
+	public OptionalLong backoff(int retry, long remainingNanoseconds) {
+		return this.backoff.delay(retry, remainingNanoseconds);
 	}
 
 	@Override
--- a/wasabicart-node/src/main/java/org/wasabicart/node/request/LocalAdmission.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/LocalAdmission.java
@@ -2,9 +2,10 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 
 import org.wasabicart.core.admission.AdmissionController;
-import org.wasabicart.core.model.ConfigurationSnapshot;
 import org.wasabicart.core.model.ServiceName;
 import org.wasabicart.core.model.ServicePolicy;
 import org.wasabicart.node.ConfigurationHolder;
@@ -13,7 +14,7 @@
 
 /**
  * Holds the admission controller in front of the local backend server. The controller is
- * replaced when the service's policy or the announced service changes.
+ * replaced when another service is announced.
  */
 public final class LocalAdmission {
 
@@ -42,22 +43,23 @@
 
 	private synchronized void update() {
 		LocalServer server = this.localServer.server().orElse(null);
-		if (server == null) {
+		if (server == null || this.configuration.current().service(server.service()).isEmpty()) {
 			// Calls in progress still return their permits to the old controller.
 			return;
 		}
-		ServicePolicy policy = policy(this.configuration.current(), server);
-		if (policy == null) {
-			return;
-		}
-		if (this.entry == null || !this.entry.policy.equals(policy)) {
-			AdmissionController previous = (this.entry != null) ? this.entry.controller : null;
-			this.entry = new Entry(policy, this.factory.create(policy, Optional.ofNullable(previous)));
+		if (this.entry == null || !this.entry.service.equals(server.service())) {
+			this.entry = new Entry(server.service(), this.factory.create(policy(server.service())));
 		}
 	}
 
-	private static ServicePolicy policy(ConfigurationSnapshot snapshot, LocalServer server) {
-		return snapshot.service(server.service()).orElse(null);
+	// A service that is taken out of the configuration keeps its last policy until its
+	// backend server has gone.
+	private Supplier<ServicePolicy> policy(ServiceName service) {
+		AtomicReference<ServicePolicy> last = new AtomicReference<>();
+		return () -> {
+			this.configuration.current().service(service).ifPresent(last::set);
+			return last.get();
+		};
 	}
 
 	/**
@@ -67,7 +69,7 @@
 	 */
 	public Optional<AdmissionController> controller(ServiceName service) {
 		Entry current = this.entry;
-		if (current == null || !current.policy.name().equals(service)) {
+		if (current == null || !current.service.equals(service)) {
 			return Optional.empty();
 		}
 		return Optional.of(current.controller);
@@ -98,16 +100,15 @@
 	public interface AdmissionFactory {
 
 		/**
-		 * Creates a controller for a policy.
-		 * @param policy policy of the local service
-		 * @param previous controller in use, which may be updated and returned
-		 * @return the controller to use from now on
+		 * Creates a controller.
+		 * @param policy policy in force of the local service, to be read at each decision
+		 * @return the controller
 		 */
-		AdmissionController create(ServicePolicy policy, Optional<AdmissionController> previous);
+		AdmissionController create(Supplier<ServicePolicy> policy);
 
 	}
 
-	private record Entry(ServicePolicy policy, AdmissionController controller) {
+	private record Entry(ServiceName service, AdmissionController controller) {
 
 		Entry {
 			Objects.requireNonNull(controller, "controller");
--- a/wasabicart-node/src/main/java/org/wasabicart/node/request/PlainRetryPolicy.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/PlainRetryPolicy.java
@@ -1,6 +1,7 @@
 package org.wasabicart.node.request;
 
 import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.function.IntFunction;
 
 import org.wasabicart.core.model.Execution;
@@ -55,8 +56,8 @@
 	}
 
 	@Override
-	public long backoffNanoseconds(int retry) {
-		return WAIT_NANOSECONDS;
+	public OptionalLong backoff(int retry, long remainingNanoseconds) {
+		return (WAIT_NANOSECONDS < remainingNanoseconds) ? OptionalLong.of(WAIT_NANOSECONDS) : OptionalLong.empty();
 	}
 
 	@Override
--- a/wasabicart-node/src/main/java/org/wasabicart/node/request/RetryPolicy.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/RetryPolicy.java
@@ -1,5 +1,7 @@
 package org.wasabicart.node.request;
 
+import java.util.OptionalLong;
+
 import org.wasabicart.core.model.Outcome;
 import org.wasabicart.core.model.ServiceName;
 import org.wasabicart.core.retry.RetryAllowance;
@@ -37,9 +39,10 @@
 	/**
 	 * Returns the time to wait before the next attempt.
 	 * @param retry number of the retry, from 1
-	 * @return nanoseconds
+	 * @param remainingNanoseconds time left until the deadline of the call
+	 * @return nanoseconds, or empty if the retry would start after the deadline
 	 */
-	long backoffNanoseconds(int retry);
+	OptionalLong backoff(int retry, long remainingNanoseconds);
 
 	/**
 	 * Reports a completed call.
--- a/wasabicart-node/src/main/java/org/wasabicart/node/request/RoutedCall.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/RoutedCall.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.wasabicart.core.model.Execution;
@@ -165,15 +166,11 @@
 
 	private void retryLater(Outcome outcome) {
 		this.retries++;
-		long delay = this.routing.retries().backoffNanoseconds(this.retries);
 		long remaining = this.request.context().remainingNanoseconds(this.routing.ticker().nanoseconds());
-		if (delay >= remaining) {
-			finish(outcome);
-			return;
-		}
+		OptionalLong delay = this.routing.retries().backoff(this.retries, remaining);
 		synchronized (this) {
-			if (!this.cancelled) {
-				this.backoff = this.routing.scheduler().schedule(delay, this::attempt);
+			if (delay.isPresent() && !this.cancelled) {
+				this.backoff = this.routing.scheduler().schedule(delay.getAsLong(), this::attempt);
 				return;
 			}
 		}
--- a/wasabicart-node/src/main/java/org/wasabicart/node/settings/NodeSettings.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/settings/NodeSettings.java
@@ -4,7 +4,6 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 
 import org.wasabicart.core.model.FailureDomain;
 import org.wasabicart.core.model.NodeAddress;
@@ -31,7 +30,7 @@
  */
 public record NodeSettings(NodeId nodeId, FailureDomain failureDomain, RegionName region, NodeAddress listenAddress,
 		NodeAddress advertisedAddress, NodeAddress httpAddress, NodeAddress localHttpAddress, List<URI> store,
-		List<NodeAddress> seeds, Optional<Path> sharedKeyFile, Duration grace, LogFormat logFormat, String logLevel,
+		List<NodeAddress> seeds, Path sharedKeyFile, Duration grace, LogFormat logFormat, String logLevel,
 		ControlMode control) {
 
 	public NodeSettings {
--- a/wasabicart-node/src/main/java/org/wasabicart/node/settings/Setting.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/settings/Setting.java
@@ -38,7 +38,7 @@
 	SEEDS("IP:port,...", "", "advertised addresses of nodes to join when the store is down"),
 
 	/** File with the key that proves membership of the deployment. */
-	SHARED_KEY_FILE("file", "", "file with the key shared by all nodes of the deployment"),
+	SHARED_KEY_FILE("file", null, "file with the key shared by all nodes of the deployment"),
 
 	/** Longest time of a graceful shutdown. */
 	GRACE_SECONDS("seconds", "20", "longest time that running requests get at a stop, 0 to 3600"),
--- a/wasabicart-node/src/main/java/org/wasabicart/node/settings/SettingValues.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/settings/SettingValues.java
@@ -138,8 +138,8 @@
 
 	static Path readableFile(String text) {
 		Path file = Path.of(text);
-		if (!Files.isReadable(file) || Files.isDirectory(file)) {
-			throw new IllegalArgumentException("file cannot be read: " + text);
+		if (!Files.isReadable(file) || !Files.isRegularFile(file) || file.toFile().length() == 0) {
+			throw new IllegalArgumentException("file is missing, empty or cannot be read: " + text);
 		}
 		return file;
 	}
--- a/wasabicart-node/src/main/java/org/wasabicart/node/settings/SettingsReader.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/settings/SettingsReader.java
@@ -124,7 +124,7 @@
 				listen, advertised, values.value(Setting.HTTP_ADDRESS, SettingValues::address),
 				values.value(Setting.LOCAL_HTTP_ADDRESS, SettingValues::loopbackAddress),
 				values.list(Setting.STORE, SettingValues::url), values.list(Setting.SEEDS, SettingValues::address),
-				values.optional(Setting.SHARED_KEY_FILE, SettingValues::readableFile),
+				values.value(Setting.SHARED_KEY_FILE, SettingValues::readableFile),
 				values.value(Setting.GRACE_SECONDS, SettingValues::grace),
 				values.value(Setting.LOG_FORMAT, SettingValues.choice(LogFormat.class)),
 				values.value(Setting.LOG_LEVEL, SettingValues::level),
--- a/wasabicart-node/src/test/java/org/wasabicart/node/RunningNode.java
+++ b/wasabicart-node/src/test/java/org/wasabicart/node/RunningNode.java
@@ -9,6 +9,8 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +23,7 @@
 import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 
+import org.wasabicart.core.admission.AdmissionControllers;
 import org.wasabicart.core.model.ConfigurationSnapshot;
 import org.wasabicart.core.model.Execution;
 import org.wasabicart.core.model.InstanceNumber;
@@ -32,11 +35,12 @@
 import org.wasabicart.core.model.Revision;
 import org.wasabicart.core.model.ServiceName;
 import org.wasabicart.core.model.ServicePolicy;
-import org.wasabicart.node.baseline.CountingAllowance;
-import org.wasabicart.node.baseline.FixedLimitAdmission;
-import org.wasabicart.node.baseline.NoEarlyRefusal;
-import org.wasabicart.node.baseline.RandomRouter;
-import org.wasabicart.node.baseline.UnlimitedRetryBudget;
+import org.wasabicart.core.retry.RetryAllowances;
+import org.wasabicart.core.retry.RetryBudgets;
+import org.wasabicart.core.routing.EarlyRefusals;
+import org.wasabicart.core.routing.RegionLink;
+import org.wasabicart.core.routing.Router;
+import org.wasabicart.core.routing.Routers;
 import org.wasabicart.node.settings.NodeSettings;
 import org.wasabicart.node.settings.SettingsReader;
 
@@ -61,14 +65,15 @@
 
 	private final HttpServer backend;
 
-	private final RandomRouter router;
+	private final Router router;
 
 	private final Node node;
 
 	RunningNode(int slots, HttpHandler handler) throws Exception {
 		this.settings = new SettingsReader(Map.of()).read("--node-id", "n1", "--failure-domain", "a", "--region", "r",
 				"--listen-address", "127.0.0.1:" + freePort(), "--http-address", "127.0.0.1:" + freePort(),
-				"--local-http-address", "127.0.0.1:" + freePort(), "--grace-seconds", "5");
+				"--local-http-address", "127.0.0.1:" + freePort(), "--grace-seconds", "5", "--shared-key-file",
+				keyFile());
 		this.backend = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
 		this.backend.setExecutor(Executors.newCachedThreadPool());
 		this.backend.createContext("/", handler);
@@ -78,19 +83,18 @@
 		});
 		this.backend.start();
 		Random random = new Random(1);
-		this.router = new RandomRouter(this.settings.failureDomain(), random);
-		Decisions decisions = new Decisions(
-				(policy, previous) -> new FixedLimitAdmission(System::nanoTime, slots, slots), this.router,
-				new NoEarlyRefusal(), CountingAllowance::new, (service) -> new UnlimitedRetryBudget());
+		this.router = Routers.random(this.settings.region(), new RegionLink(System::nanoTime), random);
+		Decisions decisions = new Decisions((policy) -> AdmissionControllers.fixed(policy, System::nanoTime, random),
+				this.router, EarlyRefusals.none(), RetryAllowances::bounded, (service) -> RetryBudgets.unlimited());
 		this.node = new Node(new NodeParts(this.settings, new InstanceNumber(1), System::nanoTime, random,
 				this.configuration, this.localServer, decisions, List.of(), List.of()));
-		this.configuration.adopt(snapshot());
+		this.configuration.adopt(snapshot(slots));
 		this.node.start();
 	}
 
-	private static ConfigurationSnapshot snapshot() {
-		ServicePolicy stores = new ServicePolicy(STORES, 100, 100, 100, 0.1, Duration.ofMillis(100), 1 << 20, DEADLINE,
-				Set.of());
+	private static ConfigurationSnapshot snapshot(int slots) {
+		ServicePolicy stores = new ServicePolicy(STORES, slots, slots, 100, 0.1, Duration.ofMillis(100), 1 << 20,
+				DEADLINE, Set.of());
 		return new ConfigurationSnapshot(new Revision(1), List.of(kind("lookup", Execution.IDEMPOTENT, "/stock/"),
 				kind("print-run", Execution.ORDER, "/orders/")), List.of(stores), List.of(), Map.of());
 	}
@@ -99,6 +103,12 @@
 		return new RequestKind(new KindName(name), 50, 1, execution, STORES, prefix, DEADLINE, 2);
 	}
 
+	private static String keyFile() throws IOException {
+		Path file = Files.createTempFile("shared-key", "");
+		file.toFile().deleteOnExit();
+		return Files.writeString(file, "key").toString();
+	}
+
 	static int freePort() throws IOException {
 		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
 			return socket.getLocalPort();
