--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/membership/ConfigurationPull.java
@@ -0,0 +1,93 @@
+package org.wasabicart.node.membership;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.Executor;
+
+import com.google.protobuf.ByteString;
+import org.jboss.logging.Logger;
+
+import org.wasabicart.core.Ticker;
+import org.wasabicart.core.adoption.PullSchedule;
+import org.wasabicart.core.model.NodeAddress;
+import org.wasabicart.core.model.Revision;
+import org.wasabicart.node.peer.PeerTransport;
+import org.wasabicart.wire.generated.link.ControlRequest;
+import org.wasabicart.wire.generated.link.ControlResponse;
+
+/**
+ * Pulls a newer configuration from a peer over a link, and answers the pulls of peers.
+ */
+final class ConfigurationPull {
+
+	private static final Logger LOGGER = Logger.getLogger(ConfigurationPull.class);
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+	private final ConfigurationStage stage;
+
+	private final PullSchedule schedule;
+
+	private final PeerTransport transport;
+
+	private final Executor executor;
+
+	ConfigurationPull(ConfigurationStage stage, PeerTransport transport, Ticker ticker, Executor executor) {
+		this.stage = stage;
+		this.schedule = new PullSchedule(stage.adoption(), ticker);
+		this.transport = transport;
+		this.executor = executor;
+	}
+
+	void seen(NodeAddress peer, Revision revision, boolean near) {
+		this.schedule.seen(peer, revision, near);
+		pull();
+	}
+
+	void pull() {
+		this.schedule.next().ifPresent(this::pullFrom);
+	}
+
+	private void pullFrom(NodeAddress peer) {
+		ControlRequest request = ControlRequest.newBuilder()
+			.setConfigurationAboveRevision(this.stage.adoption().inForce().value())
+			.build();
+		this.transport.ask(peer, request, TIMEOUT)
+			.whenComplete((response, ex) -> this.executor.execute(() -> answered(peer, response, ex)));
+	}
+
+	private void answered(NodeAddress peer, ControlResponse response, Throwable failure) {
+		boolean adopted = false;
+		if (failure != null) {
+			LOGGER.debugf("event=configuration-pull-failed peer=%s reason=%s", peer, failure.getMessage());
+		}
+		else if (response.getConfigurationRevision() > 0) {
+			adopted = adopt(peer, response);
+		}
+		this.schedule.ended(peer, adopted);
+		pull();
+	}
+
+	private boolean adopt(NodeAddress peer, ControlResponse response) {
+		try {
+			byte[] json = ConfigurationCompression.decompress(response.getConfiguration().toByteArray());
+			return this.stage.offer(new Revision(response.getConfigurationRevision()), json, peer.toString());
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			LOGGER.warnf("event=configuration-unreadable peer=%s reason=%s", peer, ex.getMessage());
+			return false;
+		}
+	}
+
+	ControlResponse answer(ControlRequest request) {
+		ConfigurationStage.Stored stored = this.stage.stored();
+		if (stored.revision().value() <= request.getConfigurationAboveRevision()) {
+			return ControlResponse.getDefaultInstance();
+		}
+		return ControlResponse.newBuilder()
+			.setConfigurationRevision(stored.revision().value())
+			.setConfiguration(ByteString.copyFrom(stored.compressed()))
+			.build();
+	}
+
+}
