Serve metrics, health and status, and test bad input

Operators need to see what a node does, and faulty callers must not reach the backend server. Adds the Prometheus metrics (bounded label values), logs of calls that did not complete (bounded rate), health and status pages, and Logback in key=value or JSON.

A body over 4 MiB is now refused by its announced length: Pekko reports that case with an exception of another type, which gave 400 instead of 413.

--- a/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
@@ -6,18 +6,26 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
 import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
 import org.jboss.logging.Logger;
 
 import org.wasabicart.core.model.Execution;
 import org.wasabicart.core.retry.ClientRequestTable;
 import org.wasabicart.node.http.NodeHttpServers;
+import org.wasabicart.node.http.OperatorPages;
 import org.wasabicart.node.http.PekkoBackendExit;
+import org.wasabicart.node.observe.NodeHealth;
+import org.wasabicart.node.observe.NodeMetrics;
+import org.wasabicart.node.observe.NodeStatus;
+import org.wasabicart.node.observe.ObservationFilter;
+import org.wasabicart.node.observe.ObservedRetryPolicy;
 import org.wasabicart.node.peer.CallHandler;
 import org.wasabicart.node.peer.PeerTransport;
 import org.wasabicart.node.request.AdmissionHandler;
@@ -31,6 +39,7 @@
 import org.wasabicart.node.request.RequestFilter;
 import org.wasabicart.node.request.RetryPolicy;
 import org.wasabicart.node.request.RoutingHandler;
+import org.wasabicart.node.request.ThresholdRegister;
 import org.wasabicart.node.settings.ControlMode;
 
 /**
@@ -53,14 +62,22 @@
 
 	private static final long DRAINING_POLL_MILLISECONDS = 20;
 
+	private static final long TERMINATION_SECONDS = 3;
+
 	private final List<NodeService> services = new ArrayList<>();
 
 	private final PeerTransportSlot transport = new PeerTransportSlot();
 
 	private final ExecutorTaskScheduler scheduler = new ExecutorTaskScheduler();
 
+	private final NodeMetrics metrics = new NodeMetrics();
+
+	private final ThresholdRegister thresholds = new ThresholdRegister();
+
 	private final NodeParts parts;
 
+	private final NodeHealth health;
+
 	private final ActorSystem system;
 
 	private final LocalAdmission admission;
@@ -81,6 +98,7 @@
 	 */
 	public Node(NodeParts parts) {
 		this.parts = Objects.requireNonNull(parts, "parts");
+		this.health = new NodeHealth(parts);
 		Config configuration = ConfigFactory.parseResources(Node.class, "node.conf").withFallback(ConfigFactory.load());
 		this.system = ActorSystem.create("node", configuration);
 		Decisions decisions = parts.decisions();
@@ -90,28 +108,51 @@
 				NodeHttpServers.BODY_LIMIT_BYTES);
 		this.serving = servingSide();
 		this.entry = entrySide();
+		registerMetrics();
+		OperatorPages pages = new OperatorPages(this.metrics, this.health,
+				new NodeStatus(parts, this.admission, this.thresholds::thresholds));
 		ClientRequestTable requests = new ClientRequestTable(parts.ticker());
 		this.servers = new NodeHttpServers(this.system, parts.ticker(), parts.random(), parts.configuration(),
-				parts.localServer(), contexts, requests, this.entry, (request) -> Optional.empty());
+				parts.localServer(), contexts, requests, this.entry, pages);
 	}
 
 	private CallHandler servingSide() {
 		AdmissionHandler last = new AdmissionHandler(this.parts.ticker(), this.parts.localServer(), this.admission,
 				this.exit);
-		return RequestFilter.chain(this.parts.servingFilters(), last);
+		List<RequestFilter> filters = new ArrayList<>();
+		filters.add(new ObservationFilter(this.parts.ticker(), this.metrics, true));
+		filters.addAll(this.parts.servingFilters());
+		return RequestFilter.chain(filters, last);
 	}
 
 	private CallHandler entrySide() {
 		RoutingHandler last = new RoutingHandler(this.parts.settings().nodeId(), this.parts.ticker(), this.scheduler,
-				this.parts.configuration(), this.parts.decisions().router(), retryPolicy(), this.transport,
-				this.serving);
+				this.parts.configuration(), this.parts.decisions().router(),
+				new ObservedRetryPolicy(retryPolicy(), this.metrics), this.transport, this.serving);
 		List<RequestFilter> filters = new ArrayList<>();
+		filters.add(new ObservationFilter(this.parts.ticker(), this.metrics, false));
 		filters.add(new DeadlineFilter(this.parts.ticker(), this.scheduler));
-		filters.add(new EarlyRefusalFilter(this.parts.decisions().earlyRefusal()));
+		filters.add(new EarlyRefusalFilter(this.parts.decisions().earlyRefusal(), this.thresholds));
 		filters.addAll(this.parts.entryFilters());
 		return RequestFilter.chain(filters, last);
 	}
 
+	private void registerMetrics() {
+		this.metrics.admission(this.admission);
+		this.metrics.gauge("wasabicart_configuration_revision", "Revision of the configuration in force",
+				() -> this.parts.configuration().current().revision().value());
+		this.metrics.gauge("wasabicart_members", "Members known to this node", () -> this.parts.members().get().size());
+		this.metrics.gauge("wasabicart_requests_running", "Requests and backend calls in progress", this::running);
+	}
+
+	/**
+	 * Returns the node's metrics, for services that add their own.
+	 * @return the metrics
+	 */
+	public NodeMetrics metrics() {
+		return this.metrics;
+	}
+
 	private RetryPolicy retryPolicy() {
 		Decisions decisions = this.parts.decisions();
 		if (this.parts.settings().control() != ControlMode.WASABICART) {
@@ -172,6 +213,7 @@
 	public void start() throws IOException {
 		this.scheduler.repeat(ADMISSION_TICK_NANOSECONDS, this.admission::tick);
 		this.scheduler.repeat(ANNOUNCEMENT_TICK_NANOSECONDS, this.parts.localServer()::tick);
+		this.scheduler.repeat(ANNOUNCEMENT_TICK_NANOSECONDS, this.health::beat);
 		for (NodeService service : this.services) {
 			service.start();
 		}
@@ -199,11 +241,22 @@
 			this.services.get(index).close();
 		}
 		this.scheduler.close();
-		this.system.terminate();
+		terminateSystem();
+	}
+
+	private void terminateSystem() {
 		try {
-			this.system.getWhenTerminated().toCompletableFuture().get(5, TimeUnit.SECONDS);
+			Http.get(this.system)
+				.shutdownAllConnectionPools()
+				.toCompletableFuture()
+				.get(TERMINATION_SECONDS, TimeUnit.SECONDS);
+			this.system.terminate();
+			this.system.getWhenTerminated().toCompletableFuture().get(TERMINATION_SECONDS, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
 		}
-		catch (Exception ex) {
+		catch (ExecutionException | TimeoutException ex) {
 			LOGGER.warnf("event=stop-incomplete reason=%s", ex);
 		}
 	}
--- a/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.security.SecureRandom;
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.DoubleSupplier;
@@ -12,6 +13,7 @@
 import org.wasabicart.core.Ticker;
 import org.wasabicart.core.admission.AdmissionControllers;
 import org.wasabicart.core.model.InstanceNumber;
+import org.wasabicart.core.model.Member;
 import org.wasabicart.core.model.RequestKind;
 import org.wasabicart.core.model.ServiceName;
 import org.wasabicart.core.model.ServicePolicy;
@@ -43,6 +45,8 @@
 
 	private final ConfigurationHolder configuration = new ConfigurationHolder();
 
+	private volatile MembershipService membership;
+
 	private NodeAssembly(NodeSettings settings) {
 		this.settings = settings;
 	}
@@ -62,15 +66,21 @@
 		// A later run of the node has a higher number, as far as the VM's clock allows.
 		InstanceNumber instance = new InstanceNumber(System.currentTimeMillis());
 		NodeParts parts = new NodeParts(this.settings, instance, this.ticker, this.random, this.configuration,
-				new LocalServerHolder(this.ticker), decisions(), List.of(), List.of());
+				new LocalServerHolder(this.ticker), decisions(), this::members, List.of(), List.of());
 		Node node = new Node(parts);
 		LinkTransport links = links(instance, sharedKey);
 		node.connect(links);
 		node.addService(new LinkService(links, node.peerHandler(), controls()));
-		node.addService(new MembershipService(parts, sharedKey, parts.decisions().router()::updateMembers));
+		this.membership = new MembershipService(parts, sharedKey, parts.decisions().router()::updateMembers);
+		node.addService(this.membership);
 		return node;
 	}
 
+	private Collection<Member> members() {
+		MembershipService current = this.membership;
+		return (current != null) ? current.members() : List.of();
+	}
+
 	private LinkTransport links(InstanceNumber instance, byte[] sharedKey) {
 		InetSocketAddress listen = new InetSocketAddress(this.settings.listenAddress().host(),
 				this.settings.listenAddress().port());
--- a/wasabicart-node/src/main/java/org/wasabicart/node/NodeMain.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/NodeMain.java
@@ -4,6 +4,8 @@
 
 import org.jboss.logging.Logger;
 
+import org.wasabicart.node.observe.LogSetup;
+import org.wasabicart.node.settings.LogFormat;
 import org.wasabicart.node.settings.NodeSettings;
 import org.wasabicart.node.settings.SettingsException;
 import org.wasabicart.node.settings.SettingsReader;
@@ -25,6 +27,8 @@
 	 * @param arguments flags; see {@code --help}
 	 */
 	public static void main(String[] arguments) {
+		// Until the settings are known; otherwise libraries log at debug level.
+		LogSetup.apply(LogFormat.KEY_VALUE, "INFO");
 		if (SettingsReader.asksForHelp(arguments)) {
 			System.out.print(SettingsReader.help());
 			return;
@@ -43,6 +47,7 @@
 	}
 
 	private static void run(NodeSettings settings) throws IOException {
+		LogSetup.apply(settings.logFormat(), settings.logLevel());
 		Node node = NodeAssembly.assemble(settings);
 		Runtime.getRuntime().addShutdownHook(new Thread(node::close, "stop"));
 		node.start();
--- a/wasabicart-node/src/main/java/org/wasabicart/node/NodeParts.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/NodeParts.java
@@ -1,10 +1,13 @@
 package org.wasabicart.node;
 
+import java.util.Collection;
 import java.util.List;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import org.wasabicart.core.Ticker;
 import org.wasabicart.core.model.InstanceNumber;
+import org.wasabicart.core.model.Member;
 import org.wasabicart.node.request.RequestFilter;
 import org.wasabicart.node.settings.NodeSettings;
 
@@ -18,6 +21,7 @@
  * @param configuration configuration in force
  * @param localServer announced backend server
  * @param decisions decision objects
+ * @param members all known members, for status and metrics
  * @param entryFilters filters on the entry side before routing, such as the home node's
  * order handling
  * @param servingFilters filters on the serving side before admission, such as the serving
@@ -25,7 +29,7 @@
  */
 public record NodeParts(NodeSettings settings, InstanceNumber instance, Ticker ticker, RandomGenerator random,
 		ConfigurationHolder configuration, LocalServerHolder localServer, Decisions decisions,
-		List<RequestFilter> entryFilters, List<RequestFilter> servingFilters) {
+		Supplier<Collection<Member>> members, List<RequestFilter> entryFilters, List<RequestFilter> servingFilters) {
 
 	public NodeParts {
 		entryFilters = List.copyOf(entryFilters);
@@ -40,7 +44,7 @@
 	 */
 	public NodeParts withFilters(List<RequestFilter> entry, List<RequestFilter> serving) {
 		return new NodeParts(this.settings, this.instance, this.ticker, this.random, this.configuration,
-				this.localServer, this.decisions, entry, serving);
+				this.localServer, this.decisions, this.members, entry, serving);
 	}
 
 }
--- a/wasabicart-node/src/main/java/org/wasabicart/node/http/CallRunner.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/http/CallRunner.java
@@ -55,7 +55,8 @@
 	}
 
 	/**
-	 * Reads the body and runs a call.
+	 * Reads the body and runs a call. The HTTP server's parser bounds bodies whose length
+	 * is not announced.
 	 * @param http request over HTTP
 	 * @param scope connection that it came on
 	 * @param call call without its body
@@ -63,9 +64,12 @@
 	 * @return the HTTP response
 	 */
 	CompletionStage<HttpResponse> run(HttpRequest http, ConnectionScope scope, CallRequest call, CallHandler handler) {
+		if (http.entity().getContentLengthOption().orElse(0) > this.bodyLimit) {
+			return CompletableFuture.completedFuture(bodyFault(CONTENT_TOO_LARGE));
+		}
 		this.running.incrementAndGet();
 		return http.entity()
-			.toStrict(BODY_TIMEOUT.toMillis(), this.bodyLimit, this.materializer)
+			.toStrict(BODY_TIMEOUT.toMillis(), Long.MAX_VALUE, this.materializer)
 			.thenCompose((body) -> run(withBody(call, body.getData().toArray()), scope, handler))
 			.exceptionally(this::bodyFault)
 			.whenComplete((response, fault) -> this.running.decrementAndGet());
@@ -92,6 +96,10 @@
 		else if (cause instanceof TimeoutException) {
 			status = REQUEST_TIMEOUT;
 		}
+		return bodyFault(status);
+	}
+
+	private HttpResponse bodyFault(int status) {
 		// What is left of the body must not be read as the next request.
 		return this.writer.refusal(status, RefusalReason.BAD_REQUEST, Duration.ZERO)
 			.addHeader(Connection.create("close"));
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/observe/ObservedRetryPolicy.java
@@ -0,0 +1,59 @@
+package org.wasabicart.node.observe;
+
+import java.util.OptionalLong;
+
+import org.wasabicart.core.model.Outcome;
+import org.wasabicart.core.model.ServiceName;
+import org.wasabicart.core.retry.RetryAllowance;
+import org.wasabicart.node.peer.CallRequest;
+import org.wasabicart.node.request.RetryPolicy;
+
+/**
+ * Counts the retries that another policy allows.
+ */
+public final class ObservedRetryPolicy implements RetryPolicy {
+
+	private final RetryPolicy policy;
+
+	private final NodeMetrics metrics;
+
+	/**
+	 * Creates a policy.
+	 * @param policy decides
+	 * @param metrics counts
+	 */
+	public ObservedRetryPolicy(RetryPolicy policy, NodeMetrics metrics) {
+		this.policy = policy;
+		this.metrics = metrics;
+	}
+
+	@Override
+	public RetryAllowance allowance(CallRequest request) {
+		return this.policy.allowance(request);
+	}
+
+	@Override
+	public int share(ServiceName service, int available) {
+		return this.policy.share(service, available);
+	}
+
+	@Override
+	public boolean spend(CallRequest request, Outcome outcome, RetryAllowance allowance) {
+		boolean spent = this.policy.spend(request, outcome, allowance);
+		if (spent) {
+			this.metrics.retried(request.service());
+		}
+		return spent;
+	}
+
+	@Override
+	public OptionalLong backoff(int retry, long remainingNanoseconds) {
+		return this.policy.backoff(retry, remainingNanoseconds);
+	}
+
+	@Override
+	public void succeeded(ServiceName service) {
+		this.policy.succeeded(service);
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/observe/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Metrics, logs, health and status of a node.
+ */
+package org.wasabicart.node.observe;
--- a/wasabicart-node/src/main/java/org/wasabicart/node/request/EarlyRefusalFilter.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/EarlyRefusalFilter.java
@@ -19,12 +19,16 @@
 
 	private final EarlyRefusal earlyRefusal;
 
+	private final ThresholdRegister register;
+
 	/**
 	 * Creates a filter.
 	 * @param earlyRefusal decision
+	 * @param register keeps the latest thresholds
 	 */
-	public EarlyRefusalFilter(EarlyRefusal earlyRefusal) {
+	public EarlyRefusalFilter(EarlyRefusal earlyRefusal, ThresholdRegister register) {
 		this.earlyRefusal = earlyRefusal;
+		this.register = register;
 	}
 
 	@Override
@@ -38,6 +42,7 @@
 			return Outcomes.ENDED;
 		}
 		return next.handle(request, (response) -> {
+			this.register.record(response.thresholds());
 			response.thresholds()
 				.forEach((threshold) -> this.earlyRefusal.learn(request.context().kind(), threshold.service(),
 						threshold.threshold()));
--- a/wasabicart-node/src/test/java/org/wasabicart/node/RunningNode.java
+++ b/wasabicart-node/src/test/java/org/wasabicart/node/RunningNode.java
@@ -87,7 +87,7 @@
 		Decisions decisions = new Decisions((policy) -> AdmissionControllers.fixed(policy, System::nanoTime, random),
 				this.router, EarlyRefusals.none(), RetryAllowances::bounded, (service) -> RetryBudgets.unlimited());
 		this.node = new Node(new NodeParts(this.settings, new InstanceNumber(1), System::nanoTime, random,
-				this.configuration, this.localServer, decisions, List.of(), List.of()));
+				this.configuration, this.localServer, decisions, List::of, List.of(), List.of()));
 		this.configuration.adopt(snapshot(slots));
 		this.node.start();
 	}
--- a/wasabicart-node/src/test/java/org/wasabicart/node/link/FrameFuzzProperties.java
+++ b/wasabicart-node/src/test/java/org/wasabicart/node/link/FrameFuzzProperties.java
@@ -69,8 +69,8 @@
 		assertServing();
 		long heapAfter = heap();
 		long directAfter = direct();
-		System.out.printf("fuzzing: heap before %d kB after %d kB, direct before %d kB after %d kB%n", heapBefore / 1024,
-				heapAfter / 1024, directBefore / 1024, directAfter / 1024);
+		System.out.printf("fuzzing: heap before %d kB after %d kB, direct before %d kB after %d kB%n",
+				heapBefore / 1024, heapAfter / 1024, directBefore / 1024, directAfter / 1024);
 		client.close();
 		server.close();
 		assertThat(heapAfter).isLessThan(heapBefore + TOLERANCE_BYTES);
