Control admitted demand against closed-loop tests with fake servers

Change: the threshold aims at a short queue, falls by the density of demand observed just above it with released demand counted until it is seen, and does not cut an importance that fits; capacity comes from throughput and holding time; nested calls wait instead of being refused at once; newest first only near the end of the queue time. The limit accepts a lower value only if throughput stays and latency falls, so that a bound in a nested service does not pull it down.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/admission/AdaptiveLimit.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/admission/AdaptiveLimit.java
@@ -17,32 +17,44 @@
 	static final long WINDOW_MAXIMUM = Duration.ofSeconds(1).toNanos();
 
 	/** Calls that a window needs unless it has its longest time. */
-	static final int WINDOW_CALLS = 100;
+	static final int WINDOW_CALLS = 40;
+
+	/** Calls that the window of a probe needs, since it compares two noisy figures. */
+	static final int PROBE_CALLS = 100;
 
 	/** Calls without which even the longest window says nothing. */
 	static final int WINDOW_CALLS_MINIMUM = 10;
 
 	/** Latency above the base latency at which a lower limit is tried at once. */
-	static final double PROBE_LATENCY_RATIO = 1.5;
+	static final double PROBE_LATENCY_RATIO = 1.4;
 
 	/** Latency above the base latency up to which the limit still rises. */
-	static final double RISE_LATENCY_RATIO = 1.2;
+	static final double RISE_LATENCY_RATIO = 1.1;
 
 	/** Share of the limit that a probe tries. */
-	static final double PROBE_SHARE = 0.7;
+	static final double PROBE_SHARE = 0.8;
 
 	/** Share of the throughput that a lower limit must keep. */
-	static final double KEPT_THROUGHPUT = 0.92;
+	static final double KEPT_THROUGHPUT = 0.93;
+
+	/**
+	 * Share of the latency that a lower limit must not exceed. Without this, a limit
+	 * falls while the throughput is bounded elsewhere, as by a nested service.
+	 */
+	static final double LOWER_LATENCY = 0.9;
 
 	/** Shortest time between probes that did not lower the limit. */
-	static final long PROBE_PAUSE_MINIMUM = Duration.ofMillis(500).toNanos();
+	static final long PROBE_PAUSE_MINIMUM = Duration.ofSeconds(1).toNanos();
 
 	/** Longest time between probes. */
-	static final long PROBE_PAUSE_MAXIMUM = Duration.ofSeconds(8).toNanos();
+	static final long PROBE_PAUSE_MAXIMUM = Duration.ofSeconds(16).toNanos();
 
-	private static final double RISE = 1.1;
+	/** First rise; grows with each rise in a row, so that a large gap closes fast. */
+	private static final double RISE = 0.1;
 
-	private static final double FAST_RISE = 1.5;
+	private static final double RISE_GROWTH = 1.6;
+
+	private static final double RISE_MAXIMUM = 0.5;
 
 	private static final double SHED_SHARE = 0.05;
 
@@ -54,8 +66,7 @@
 
 	private int limit;
 
-	/** Limit up to which a raised limit was last found useful. */
-	private int known;
+	private double rise = RISE;
 
 	/** Latency without queueing in the backend server, zero until observed. */
 	private double baseLatency;
@@ -66,6 +77,8 @@
 
 	private double throughputBeforeProbe;
 
+	private double latencyBeforeProbe;
+
 	private long probePause = PROBE_PAUSE_MINIMUM;
 
 	private long lastProbe;
@@ -79,7 +92,6 @@
 
 	AdaptiveLimit(int initialLimit) {
 		this.limit = initialLimit;
-		this.known = initialLimit;
 	}
 
 	@Override
@@ -101,7 +113,7 @@
 			return this.limit;
 		}
 		this.window.add(sample);
-		if (this.window.complete(now, this.limit)) {
+		if (this.window.complete(now, Math.max(this.probing ? PROBE_CALLS : WINDOW_CALLS, 2 * this.limit))) {
 			int before = this.limit;
 			decide(now);
 			this.limit = Math.max(1, Math.min(this.limit, sample.ceiling()));
@@ -138,17 +150,20 @@
 		this.probing = false;
 		this.lastProbe = now;
 		boolean demanded = this.window.demandedShare() > 0.5;
-		if (demanded && this.window.throughput(now) >= KEPT_THROUGHPUT * this.throughputBeforeProbe) {
+		boolean kept = this.window.throughput(now) >= KEPT_THROUGHPUT * this.throughputBeforeProbe;
+		if (demanded && kept && latency <= LOWER_LATENCY * this.latencyBeforeProbe) {
 			// The slots above the lower limit only queued calls.
 			this.baseLatency = Math.min(this.baseLatency, latency);
 			this.probePause = PROBE_PAUSE_MINIMUM;
-			this.known = this.limit;
 			startProbe(now);
 		}
 		else {
 			this.limit = this.limitBeforeProbe;
-			this.known = this.limitBeforeProbe;
-			this.baseLatency = latency;
+			if (!kept) {
+				// The latency is that of the work itself, which has become slower or
+				// faster.
+				this.baseLatency = latency;
+			}
 			this.probePause = Math.min(PROBE_PAUSE_MAXIMUM, 2 * this.probePause);
 		}
 	}
@@ -169,8 +184,11 @@
 			startProbe(now);
 		}
 		else if (ratio < RISE_LATENCY_RATIO) {
-			double factor = (this.limit < this.known) ? FAST_RISE : RISE;
-			this.limit = (int) (this.limit * factor) + 1;
+			this.limit += (int) (this.limit * this.rise) + 1;
+			this.rise = Math.min(RISE_MAXIMUM, this.rise * RISE_GROWTH);
+		}
+		else {
+			this.rise = RISE;
 		}
 	}
 
@@ -183,6 +201,7 @@
 		this.probing = true;
 		this.limitBeforeProbe = this.limit;
 		this.throughputBeforeProbe = this.window.throughput(now);
+		this.latencyBeforeProbe = this.window.meanLatency();
 		this.limit = lower;
 	}
 
--- a/wasabicart-core/src/main/java/org/wasabicart/core/admission/CallQueue.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/admission/CallQueue.java
@@ -38,14 +38,14 @@
 	 */
 	boolean remove(AdmissionListener listener);
 
+	int size();
+
 	/**
-	 * Returns the longest waiting time.
-	 * @param now the ticker's time
-	 * @return nanoseconds, zero if the queue is empty
+	 * Returns the number of calls at or above a priority.
+	 * @param priority lowest priority of an importance
+	 * @return number of calls
 	 */
-	long oldestWait(long now);
-
-	int size();
+	int sizeFrom(int priority);
 
 	long bytes();
 
--- a/wasabicart-core/src/main/java/org/wasabicart/core/admission/FairQueue.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/admission/FairQueue.java
@@ -93,7 +93,7 @@
 	// newest run first.
 	private boolean standing(long now) {
 		QueuedCall oldest = oldest();
-		return oldest != null && oldest.waited(now) > oldest.queueTime() / 2;
+		return oldest != null && oldest.waited(now) > oldest.queueTime() / 10 * 9;
 	}
 
 	@Override
@@ -152,9 +152,12 @@
 	}
 
 	@Override
-	public long oldestWait(long now) {
-		QueuedCall oldest = oldest();
-		return (oldest != null) ? oldest.waited(now) : 0;
+	public int sizeFrom(int priority) {
+		int size = 0;
+		for (TenantQueues tenants : this.classes.tailMap(priority / Priority.BUCKETS, true).values()) {
+			size += tenants.size();
+		}
+		return size;
 	}
 
 	@Override
--- a/wasabicart-core/src/main/java/org/wasabicart/core/admission/FifoQueue.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/admission/FifoQueue.java
@@ -58,8 +58,8 @@
 	}
 
 	@Override
-	public long oldestWait(long now) {
-		return this.calls.isEmpty() ? 0 : this.calls.peekFirst().waited(now);
+	public int sizeFrom(int priority) {
+		return (int) this.calls.stream().filter((call) -> call.priority() >= priority).count();
 	}
 
 	@Override
--- a/wasabicart-core/src/main/java/org/wasabicart/core/admission/LimitWindow.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/admission/LimitWindow.java
@@ -52,13 +52,13 @@
 		}
 	}
 
-	boolean complete(long now, int limit) {
+	boolean complete(long now, int callsNeeded) {
 		long duration = now - this.start;
 		if (duration >= AdaptiveLimit.WINDOW_MAXIMUM) {
 			return this.calls >= AdaptiveLimit.WINDOW_CALLS_MINIMUM;
 		}
 		double minimum = Math.max(AdaptiveLimit.WINDOW_MINIMUM, LATENCIES * meanLatency());
-		return this.calls >= Math.max(AdaptiveLimit.WINDOW_CALLS, 2 * limit) && duration >= minimum;
+		return this.calls >= callsNeeded && duration >= minimum;
 	}
 
 	double meanLatency() {
--- a/wasabicart-core/src/main/java/org/wasabicart/core/admission/QueueingAdmission.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/admission/QueueingAdmission.java
@@ -49,10 +49,7 @@
 
 	private long nextPermit;
 
-	/** Mean time between admission and end, zero until observed. */
-	private double holdNanoseconds;
-
-	private long lastEnd;
+	private final CapacityEstimate capacity;
 
 	QueueingAdmission(Supplier<ServicePolicy> policy, int initialLimit, ConcurrencyLimit concurrencyLimit,
 			ThresholdControl thresholdControl, CallQueue queue, Ticker ticker, RandomGenerator random) {
@@ -63,7 +60,7 @@
 		this.ticker = Objects.requireNonNull(ticker, "ticker");
 		this.hints = new RetryHints(random);
 		this.limit = initialLimit;
-		this.lastEnd = ticker.nanoseconds();
+		this.capacity = new CapacityEstimate(ticker.nanoseconds());
 	}
 
 	@Override
@@ -83,7 +80,7 @@
 			else if (this.queue.size() == 0 && this.running.size() < this.limit && mayRun(context, priority)) {
 				decisions.admitted(listener, admit(now));
 			}
-			else if (priority < this.threshold) {
+			else if (priority < this.threshold && context.depth() == 0) {
 				decisions.refused(listener, refuse(RefusalReason.OVERLOADED));
 			}
 			else {
@@ -102,7 +99,8 @@
 	private void enqueue(RequestContext context, int priority, long bytes, long now, AdmissionListener listener,
 			Decisions decisions) {
 		ServicePolicy current = this.policy.get();
-		QueuedCall call = new QueuedCall(context, priority, bytes, now, current.queueTime().toNanos(), listener);
+		long queueTime = current.queueTime().toNanos();
+		QueuedCall call = new QueuedCall(context, priority, bytes, now, queueTime, listener);
 		this.queue.add(call, current.queueBytes(), now, (dropped) -> drop(dropped, now, decisions));
 		admitQueued(now, decisions);
 	}
@@ -122,8 +120,7 @@
 				return;
 			}
 			long now = this.ticker.nanoseconds();
-			observeHold(now - permit.startNanoseconds());
-			this.lastEnd = now;
+			this.capacity.ended(now - permit.startNanoseconds(), this.limit, now);
 			int ceiling = this.policy.get().ceiling();
 			LimitSample limitSample = new LimitSample(now, sample, permit, this.queue.size() > 0, ceiling);
 			this.limit = clamp(this.concurrencyLimit.update(limitSample), ceiling);
@@ -141,34 +138,17 @@
 			this.limit = clamp(this.limit, current.ceiling());
 			this.queue.expire(now, (dropped) -> drop(dropped, now, decisions));
 			admitQueued(now, decisions);
-			if (this.holdNanoseconds > 0) {
-				boolean spare = this.running.size() < this.limit;
+			if (this.capacity.known()) {
 				long target = Math.max(1, current.queueTime().toNanos() / TARGET_WAIT_DIVISOR);
+				double perSecond = this.capacity.perSecond(this.limit, this.running.size(), now);
+				long wait = (long) (this.queue.size() * NANOSECONDS_PER_SECOND / perSecond);
 				this.threshold = this.thresholdControl
-					.update(new ThresholdInput(now, capacityPerSecond(now), this.queue.oldestWait(now), target, spare));
+					.update(new ThresholdInput(now, perSecond, wait, target, this.queue::sizeFrom));
 			}
 		}
 		decisions.announce();
 	}
 
-	private double capacityPerSecond(long now) {
-		double hold = this.holdNanoseconds;
-		if (this.running.size() >= this.limit) {
-			// Without this, a server that stops answering keeps its last capacity.
-			hold = Math.max(hold, now - this.lastEnd);
-		}
-		return this.limit * NANOSECONDS_PER_SECOND / hold;
-	}
-
-	private void observeHold(long nanoseconds) {
-		if (this.holdNanoseconds == 0) {
-			this.holdNanoseconds = Math.max(1, nanoseconds);
-		}
-		else {
-			this.holdNanoseconds += (nanoseconds - this.holdNanoseconds) / Math.max(10, this.limit);
-		}
-	}
-
 	private void admitQueued(long now, Decisions decisions) {
 		while (this.running.size() < this.limit && this.queue.size() > 0) {
 			QueuedCall call = this.queue.poll(now, (dropped) -> drop(dropped, now, decisions));
--- a/wasabicart-core/src/main/java/org/wasabicart/core/admission/TenantQueues.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/admission/TenantQueues.java
@@ -34,6 +34,10 @@
 		return this.size == 0;
 	}
 
+	int size() {
+		return this.size;
+	}
+
 	void add(QueuedCall call) {
 		TenantQueue tenant = this.tenants.computeIfAbsent(call.context().tenant(), (name) -> new TenantQueue());
 		if (tenant.isEmpty()) {
--- a/wasabicart-core/src/main/java/org/wasabicart/core/routing/ObservedThreshold.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/routing/ObservedThreshold.java
@@ -12,7 +12,7 @@
 final class ObservedThreshold {
 
 	/** Interval over which the lowest reported threshold is taken. */
-	static final long INTERVAL = Duration.ofMillis(50).toNanos();
+	static final long INTERVAL = Duration.ofMillis(20).toNanos();
 
 	/** Without reports for this time, single requests are let through as probes. */
 	static final long PROBE_INTERVAL = Duration.ofMillis(100).toNanos();
