--- a/wasabicart-core/src/main/java/org/wasabicart/core/retry/ClientRequestTable.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/retry/ClientRequestTable.java
@@ -1,6 +1,7 @@
 package org.wasabicart.core.retry;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -38,8 +39,10 @@
 
 	private final Ticker ticker;
 
-	/** In the order of the last end, or of the start for those that never ended. */
-	private final Map<Key, Request> requests = new LinkedHashMap<>();
+	private final Map<Key, Request> running = new HashMap<>();
+
+	/** Requests of which no send is running, in the order of their ends. */
+	private final Map<Key, Request> ended = new LinkedHashMap<>();
 
 	/**
 	 * Creates a table with the default bounds.
@@ -76,23 +79,31 @@
 		long now = this.ticker.nanoseconds();
 		expire(now);
 		Key key = new Key(tenant, id);
-		Request known = this.requests.get(key);
+		Request known = this.running.containsKey(key) ? this.running.get(key) : this.ended.get(key);
 		if (known != null) {
-			boolean free = known.running == 0 && !known.mayHaveRun;
-			boolean spent = free || known.allowance.tryToSpend();
-			known.running += spent ? 1 : 0;
-			return new Entry(spent ? Decision.ADMITTED : Decision.ALLOWANCE_SPENT, known.allowance);
+			return repeat(key, known);
 		}
 		RetryAllowance allowance = RetryAllowances.bounded(retryAllowance);
-		if (this.requests.size() >= this.capacity && !displace()) {
+		if (size() >= this.capacity && !displaceOldest()) {
 			return new Entry(Decision.TABLE_FULL, allowance);
 		}
 		Request request = new Request(allowance);
-		request.running = 1;
-		this.requests.put(key, request);
+		request.runningSends = 1;
+		this.running.put(key, request);
 		return new Entry(Decision.ADMITTED, allowance);
 	}
 
+	private Entry repeat(Key key, Request known) {
+		boolean free = known.runningSends == 0 && !known.mayHaveRun;
+		if (!free && !known.allowance.tryToSpend()) {
+			return new Entry(Decision.ALLOWANCE_SPENT, known.allowance);
+		}
+		known.runningSends++;
+		this.ended.remove(key);
+		this.running.put(key, known);
+		return new Entry(Decision.ADMITTED, known.allowance);
+	}
+
 	/**
 	 * Ends one admitted send. The request is remembered for the retention time.
 	 * @param tenant tenant
@@ -101,15 +112,17 @@
 	 */
 	public synchronized void end(TenantName tenant, RequestId id, boolean neverRan) {
 		Key key = new Key(tenant, id);
-		Request request = this.requests.get(key);
-		if (request == null || request.running == 0) {
+		Request request = this.running.get(key);
+		if (request == null) {
 			return;
 		}
-		request.running--;
+		request.runningSends--;
 		request.mayHaveRun |= !neverRan;
-		request.ended = this.ticker.nanoseconds();
-		this.requests.remove(key);
-		this.requests.put(key, request);
+		if (request.runningSends == 0) {
+			request.endTime = this.ticker.nanoseconds();
+			this.running.remove(key);
+			this.ended.put(key, request);
+		}
 	}
 
 	/**
@@ -117,29 +130,24 @@
 	 * @return number of entries
 	 */
 	public synchronized int size() {
-		return this.requests.size();
+		return this.running.size() + this.ended.size();
 	}
 
 	private void expire(long now) {
-		Iterator<Request> iterator = this.requests.values().iterator();
-		while (iterator.hasNext()) {
-			Request request = iterator.next();
-			if (request.running > 0 || now - request.ended < this.retention) {
-				return;
-			}
+		Iterator<Request> iterator = this.ended.values().iterator();
+		while (iterator.hasNext() && now - iterator.next().endTime >= this.retention) {
 			iterator.remove();
 		}
 	}
 
-	private boolean displace() {
-		Iterator<Request> iterator = this.requests.values().iterator();
-		while (iterator.hasNext()) {
-			if (iterator.next().running == 0) {
-				iterator.remove();
-				return true;
-			}
+	private boolean displaceOldest() {
+		Iterator<Request> iterator = this.ended.values().iterator();
+		if (!iterator.hasNext()) {
+			return false;
 		}
-		return false;
+		iterator.next();
+		iterator.remove();
+		return true;
 	}
 
 	/**
@@ -176,11 +184,11 @@
 
 		private final RetryAllowance allowance;
 
-		private int running;
+		private int runningSends;
 
 		private boolean mayHaveRun;
 
-		private long ended;
+		private long endTime;
 
 		private Request(RetryAllowance allowance) {
 			this.allowance = allowance;
