Add the demonstration and the overload experiments

Change: scaled plans of both deployments, figures from histories and callers' records, the experiments surge, retry-storm, cold-start, misleading-health and slow-service, and the demonstration with live goodput.

--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
@@ -8,6 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.wasabicart.experiment.demo.DemoExperiment;
+import org.wasabicart.experiment.overload.OverloadExperiment;
+
 /**
  * Experiments that the command line offers.
  */
@@ -33,6 +36,8 @@
 	 */
 	public static ExperimentRegistry standard() {
 		List<Experiment> experiments = new ArrayList<>();
+		experiments.add(new DemoExperiment());
+		experiments.addAll(OverloadExperiment.all());
 		return new ExperimentRegistry(experiments);
 	}
 
--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/demo/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Demonstration on the operators' own machine.
+ */
+package org.wasabicart.experiment.demo;
--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/figures/CallerFigures.java
@@ -0,0 +1,226 @@
+package org.wasabicart.experiment.figures;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+import org.HdrHistogram.Histogram;
+
+import org.wasabicart.experiment.harness.DeploymentPlan;
+import org.wasabicart.standin.caller.CallerRecord;
+import org.wasabicart.standin.caller.LoadResult;
+
+/**
+ * Figures of the callers' records.
+ */
+public final class CallerFigures {
+
+	private static final double MICROSECONDS_PER_SECOND = 1e6;
+
+	private static final double NANOSECONDS_PER_SECOND = 1e9;
+
+	private static final long HIGHEST_MICROSECONDS = 120_000_000;
+
+	private static final int SIGNIFICANT_DIGITS = 3;
+
+	// Wide enough to hold several requests, so that one refusal is no loss of recovery.
+	private static final double RECOVERY_WINDOW_SECONDS = 0.5;
+
+	private static final double RECOVERY_STEP_SECONDS = 0.1;
+
+	private static final double RECOVERED_SHARE = 0.95;
+
+	private static final double INVERSION_WINDOW_SECONDS = 1;
+
+	private final DeploymentPlan plan;
+
+	private final LoadResult result;
+
+	/**
+	 * Creates the figures.
+	 * @param plan plan that the callers used
+	 * @param result what the callers saw
+	 */
+	public CallerFigures(DeploymentPlan plan, LoadResult result) {
+		this.plan = plan;
+		this.result = result;
+	}
+
+	/**
+	 * Returns the root requests that were answered before their deadline.
+	 * @return root request ids
+	 */
+	public Set<String> goodRoots() {
+		Set<String> roots = new HashSet<>();
+		for (CallerRecord record : this.result.records()) {
+			if (record.good()) {
+				roots.add(record.arrival().requestId());
+			}
+		}
+		return roots;
+	}
+
+	/**
+	 * Returns the requests that were answered in a window, each before its deadline.
+	 * @param window window of the answers
+	 * @return requests each second
+	 */
+	public double goodput(TimeWindow window) {
+		return answered(window, (record) -> true).size() / window.seconds();
+	}
+
+	/**
+	 * Returns the requests of one kind that were answered in a window, each before its
+	 * deadline.
+	 * @param window window of the answers
+	 * @param kind kind
+	 * @return requests each second
+	 */
+	public double goodput(TimeWindow window, String kind) {
+		return answered(window, (record) -> record.arrival().kind().name().equals(kind)).size() / window.seconds();
+	}
+
+	/**
+	 * Returns the credit of the requests that were answered in a window.
+	 * @param window window of the answers
+	 * @return sum of the kinds' credits
+	 */
+	public double credit(TimeWindow window) {
+		return answered(window, (record) -> true).stream()
+			.mapToDouble((record) -> this.plan.kind(record.arrival().kind().name()).credit())
+			.sum();
+	}
+
+	private List<CallerRecord> answered(TimeWindow window, Predicate<CallerRecord> filter) {
+		return this.result.records()
+			.stream()
+			.filter((record) -> record.good() && window.contains(endSeconds(record)) && filter.test(record))
+			.toList();
+	}
+
+	private double endSeconds(CallerRecord record) {
+		return (record.endMicroseconds() - this.result.startMicroseconds()) / MICROSECONDS_PER_SECOND;
+	}
+
+	private static double arrivalSeconds(CallerRecord record) {
+		return record.arrival().offsetNanoseconds() / NANOSECONDS_PER_SECOND;
+	}
+
+	private int importance(CallerRecord record) {
+		return this.plan.kind(record.arrival().kind().name()).importance();
+	}
+
+	/**
+	 * Returns demand and goodput of the requests that arrived in a window.
+	 * @param window window of the arrivals
+	 * @return counts by importance, the least important first
+	 */
+	public TreeMap<Integer, Demand> byImportance(TimeWindow window) {
+		TreeMap<Integer, Demand> demands = new TreeMap<>();
+		for (CallerRecord record : this.result.records()) {
+			if (window.contains(arrivalSeconds(record))) {
+				demands.merge(importance(record), new Demand(1, record.good() ? 1 : 0), Demand::plus);
+			}
+		}
+		return demands;
+	}
+
+	/**
+	 * Returns the requests that were not answered although a less important one was, in
+	 * the same second of arrival.
+	 * @param window window of the arrivals
+	 * @return number of requests that could have been answered instead of a less
+	 * important one
+	 */
+	public long priorityInversions(TimeWindow window) {
+		long inversions = 0;
+		for (double start = window.fromSeconds(); start < window.toSeconds(); start += INVERSION_WINDOW_SECONDS) {
+			TimeWindow part = new TimeWindow(start, Math.min(start + INVERSION_WINDOW_SECONDS, window.toSeconds()));
+			inversions += inversions(byImportance(part));
+		}
+		return inversions;
+	}
+
+	private static long inversions(TreeMap<Integer, Demand> demands) {
+		long inversions = 0;
+		long goodBelow = demands.values().stream().mapToLong(Demand::good).sum();
+		for (Demand demand : demands.descendingMap().values()) {
+			goodBelow -= demand.good();
+			inversions += Math.min(demand.arrived() - demand.good(), Math.max(0, goodBelow - inversions));
+		}
+		return inversions;
+	}
+
+	/**
+	 * Returns the time from the end of a trigger until the share of the arriving requests
+	 * that are answered in time is at least 0.95 of the share before the trigger, in each
+	 * later window of 0.5 s.
+	 * @param before window before the trigger
+	 * @param triggerEnd end of the trigger in seconds
+	 * @param loadEnd end of the load in seconds
+	 * @return the seconds, or empty if the load ended earlier
+	 */
+	public OptionalDouble recoverySeconds(TimeWindow before, double triggerEnd, double loadEnd) {
+		double wanted = RECOVERED_SHARE * share(before);
+		double recovered = triggerEnd;
+		double start = triggerEnd;
+		while (start + RECOVERY_WINDOW_SECONDS <= loadEnd) {
+			if (share(new TimeWindow(start, start + RECOVERY_WINDOW_SECONDS)) < wanted) {
+				recovered = start + RECOVERY_STEP_SECONDS;
+			}
+			start += RECOVERY_STEP_SECONDS;
+		}
+		boolean beforeLoadEnd = recovered + RECOVERY_WINDOW_SECONDS <= loadEnd;
+		return beforeLoadEnd ? OptionalDouble.of(recovered - triggerEnd) : OptionalDouble.empty();
+	}
+
+	private double share(TimeWindow window) {
+		Demand sum = byImportance(window).values().stream().reduce(new Demand(0, 0), Demand::plus);
+		return sum.share();
+	}
+
+	/**
+	 * Returns the latency beyond the backend servers' service times.
+	 * @param window window of the arrivals
+	 * @param serviceMicroseconds service times by root request id
+	 * @return histogram in microseconds
+	 */
+	public Histogram addedLatency(TimeWindow window, Map<String, Long> serviceMicroseconds) {
+		Histogram histogram = new Histogram(HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS);
+		for (CallerRecord record : this.result.records()) {
+			Long service = serviceMicroseconds.get(record.arrival().requestId());
+			if (record.good() && service != null && window.contains(arrivalSeconds(record))) {
+				long added = record.latencyNanoseconds() / 1000 - service;
+				histogram.recordValue(Math.max(0, Math.min(added, HIGHEST_MICROSECONDS)));
+			}
+		}
+		return histogram;
+	}
+
+	/**
+	 * Requests of one importance.
+	 *
+	 * @param arrived requests that arrived
+	 * @param good those of them that were answered before their deadline
+	 */
+	public record Demand(long arrived, long good) {
+
+		Demand plus(Demand other) {
+			return new Demand(this.arrived + other.arrived, this.good + other.good);
+		}
+
+		/**
+		 * Returns the share that was answered in time.
+		 * @return 0 to 1; 1 if none arrived
+		 */
+		public double share() {
+			return (this.arrived > 0) ? (double) this.good / this.arrived : 1;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/figures/RunFigures.java
@@ -0,0 +1,143 @@
+package org.wasabicart.experiment.figures;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Figures of the backend servers' histories.
+ */
+public final class RunFigures {
+
+	private final List<HistoryRun> runs;
+
+	private final Map<String, Integer> attempts = new HashMap<>();
+
+	private final Map<String, Integer> starts = new HashMap<>();
+
+	private final Set<String> completed = new HashSet<>();
+
+	private final Set<String> rootsThatRanTwice = new HashSet<>();
+
+	/**
+	 * Creates the figures.
+	 * @param runs history
+	 */
+	public RunFigures(List<HistoryRun> runs) {
+		this.runs = List.copyOf(runs);
+		for (HistoryRun run : runs) {
+			this.attempts.merge(run.root(), 1, Integer::sum);
+			if (run.ran()) {
+				int count = this.starts.merge(call(run), 1, Integer::sum);
+				if (count > 1) {
+					this.rootsThatRanTwice.add(run.root());
+				}
+			}
+			if (run.completed()) {
+				this.completed.add(call(run));
+			}
+		}
+	}
+
+	private static String call(HistoryRun run) {
+		return run.root() + " " + run.path();
+	}
+
+	/**
+	 * Returns the attempts of one root request that reached backend servers.
+	 * @param root root request id
+	 * @return runs and refusals in the whole call tree
+	 */
+	public int attempts(String root) {
+		return this.attempts.getOrDefault(root, 0);
+	}
+
+	/**
+	 * Returns the highest number of attempts of one root request.
+	 * @return runs and refusals in the whole call tree
+	 */
+	public int maximumAttempts() {
+		return this.attempts.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+	}
+
+	/**
+	 * Returns how often one call of a root request reached backend servers on average.
+	 * @return attempts, divided by the distinct calls that reached backend servers
+	 */
+	public double amplification() {
+		Set<String> calls = new HashSet<>();
+		this.runs.forEach((run) -> calls.add(call(run)));
+		return calls.isEmpty() ? 0 : (double) this.runs.size() / calls.size();
+	}
+
+	/**
+	 * Returns how often a call ran.
+	 * @param root root request id
+	 * @param path path at the backend server
+	 * @return number of runs
+	 */
+	public int runs(String root, String path) {
+		return this.starts.getOrDefault(root + " " + path, 0);
+	}
+
+	/**
+	 * Returns whether a call completed.
+	 * @param root root request id
+	 * @param path path at the backend server
+	 * @return whether a run of it completed
+	 */
+	public boolean completed(String root, String path) {
+		return this.completed.contains(root + " " + path);
+	}
+
+	/**
+	 * Returns whether some call of a root request ran more than once.
+	 * @param root root request id
+	 * @return whether a path has several runs
+	 */
+	public boolean ranTwice(String root) {
+		return this.rootsThatRanTwice.contains(root);
+	}
+
+	/**
+	 * Returns the share of the work that served no answer in time. Of several runs of one
+	 * call, only the first that completed counts as useful.
+	 * @param from start of the runs that count, since the epoch
+	 * @param to end of the starts
+	 * @param goodRoots root requests that were answered before their deadline
+	 * @return wasted work, divided by all work
+	 */
+	public double wastedWorkShare(long from, long to, Set<String> goodRoots) {
+		Set<String> useful = new HashSet<>();
+		long wasted = 0;
+		long all = 0;
+		for (HistoryRun run : this.runs) {
+			if (run.startMicroseconds() < from || run.startMicroseconds() >= to) {
+				continue;
+			}
+			all += run.workMicroseconds();
+			boolean counts = run.completed() && goodRoots.contains(run.root()) && useful.add(call(run));
+			if (!counts) {
+				wasted += run.workMicroseconds();
+			}
+		}
+		return (all > 0) ? (double) wasted / all : 0;
+	}
+
+	/**
+	 * Returns the service times of the runs of each root request.
+	 * @return microseconds of completed runs by root request id
+	 */
+	public Map<String, Long> serviceMicroseconds() {
+		Map<String, Long> sums = new HashMap<>();
+		for (HistoryRun run : this.runs) {
+			if (run.completed()) {
+				sums.merge(run.root(), run.serviceMicroseconds(), Long::sum);
+			}
+		}
+		return sums;
+	}
+
+}
--- /dev/null
+++ b/wasabicart-experiment/src/test/java/org/wasabicart/experiment/harness/ProcessHarnessTests.java
@@ -0,0 +1,34 @@
+package org.wasabicart.experiment.harness;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against processes and files that outlive an experiment.
+ */
+class ProcessHarnessTests {
+
+	@Test
+	void endsProcessesAndDeletesFilesAtClose() throws Exception {
+		ManagedProcess store;
+		Path directory;
+		try (ProcessHarness harness = new ProcessHarness()) {
+			directory = harness.directory();
+			String address = AddressPlan.free("127.50").store();
+			store = harness.startJava("store", List.of("-Xmx64m"), "org.wasabicart.standin.store.StoreMain",
+					List.of("--address", address));
+			new HttpControl().awaitOk("http://" + address + "/standin/counts", Duration.ofSeconds(20));
+			// A stopped process does not end by TERM.
+			store.signal(ProcessSignal.STOP);
+		}
+		assertThat(store.isAlive()).isFalse();
+		assertThat(Files.exists(directory)).isFalse();
+	}
+
+}
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendBehaviour.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendBehaviour.java
@@ -4,6 +4,8 @@
 import java.util.SplittableRandom;
 import java.util.function.LongSupplier;
 
+import com.fasterxml.jackson.databind.JsonNode;
+
 /**
  * Random and time-dependent behaviour of a backend server: jitter, cold start, state and
  * faults.
@@ -22,9 +24,18 @@
 
 	private long startedNanoseconds;
 
+	private long startingMilliseconds;
+
+	private long coldMilliseconds;
+
+	private double coldFactor;
+
 	BackendBehaviour(BackendConfiguration configuration, LongSupplier nanoseconds) {
 		this.configuration = configuration;
 		this.nanoseconds = nanoseconds;
+		this.startingMilliseconds = configuration.startingMilliseconds();
+		this.coldMilliseconds = configuration.coldMilliseconds();
+		this.coldFactor = configuration.coldFactor();
 		this.random = new SplittableRandom(configuration.seed());
 		this.startedNanoseconds = nanoseconds.getAsLong();
 	}
@@ -41,8 +52,16 @@
 		this.draining = true;
 	}
 
-	synchronized void restart() {
+	/**
+	 * Starts again, as a new process would.
+	 * @param change changes of {@code startingMilliseconds}, {@code coldMilliseconds} and
+	 * {@code coldFactor}
+	 */
+	synchronized void restart(JsonNode change) {
 		this.draining = false;
+		this.startingMilliseconds = change.path("startingMilliseconds").asLong(this.startingMilliseconds);
+		this.coldMilliseconds = change.path("coldMilliseconds").asLong(this.coldMilliseconds);
+		this.coldFactor = change.path("coldFactor").asDouble(this.coldFactor);
 		this.startedNanoseconds = this.nanoseconds.getAsLong();
 	}
 
@@ -50,7 +69,7 @@
 		if (this.draining) {
 			return "draining";
 		}
-		return (ageMilliseconds() < this.configuration.startingMilliseconds()) ? "starting" : "serving";
+		return (ageMilliseconds() < this.startingMilliseconds) ? "starting" : "serving";
 	}
 
 	synchronized boolean shedsNext() {
@@ -65,13 +84,15 @@
 	synchronized long nextServiceMicroseconds() {
 		double deviation = this.configuration.jitter() * (2 * this.random.nextDouble() - 1);
 		double milliseconds = this.configuration.serviceMilliseconds() * (1 + deviation);
-		return Math.round(1000 * milliseconds * this.faults.slowFactor() * coldFactor());
+		return Math.round(1000 * milliseconds * this.faults.slowFactor() * coldFactorNow());
 	}
 
-	private double coldFactor() {
-		long cold = this.configuration.coldMilliseconds();
-		double warmth = (cold > 0) ? Math.min(1, (double) ageMilliseconds() / cold) : 1;
-		return this.configuration.coldFactor() + (1 - this.configuration.coldFactor()) * warmth;
+	private double coldFactorNow() {
+		double warmth = 1;
+		if (this.coldMilliseconds > 0) {
+			warmth = Math.min(1, (double) ageMilliseconds() / this.coldMilliseconds);
+		}
+		return this.coldFactor + (1 - this.coldFactor) * warmth;
 	}
 
 	private long ageMilliseconds() {
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendServer.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendServer.java
@@ -140,7 +140,7 @@
 			drain();
 		}
 		else if (path.equals("/standin/restart")) {
-			this.behaviour.restart();
+			this.behaviour.restart(Json.parse(body));
 			this.announcer.announce();
 		}
 		else if (request.method() != HttpMethods.GET) {
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/caller/Caller.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/caller/Caller.java
@@ -23,6 +23,8 @@
 
 	private static final int OK = 200;
 
+	private static final Duration RESULT_TIMEOUT = Duration.ofSeconds(1);
+
 	private final CallerClient client;
 
 	private final CallerBehaviour behaviour;
@@ -119,12 +121,7 @@
 		this.execution = response.headers().firstValue("Wasabicart-Execution").orElse("");
 		this.reason = response.headers().firstValue("Wasabicart-Reason").orElse("");
 		if (this.status == OK) {
-			AnswerCheck check = Answers.check(response.body(), this.arrival.requestId(), this.arrival.path());
-			end(switch (check) {
-				case COMPLETE -> CallerOutcome.COMPLETED;
-				case PARTIAL -> CallerOutcome.PARTIAL_ANSWER;
-				case WRONG -> CallerOutcome.WRONG_ANSWER;
-			});
+			end(outcomeOf(response));
 			return;
 		}
 		this.someRan |= this.execution.equals("ran");
@@ -132,11 +129,20 @@
 		again();
 	}
 
+	private CallerOutcome outcomeOf(HttpResponse<byte[]> response) {
+		AnswerCheck check = Answers.check(response.body(), this.arrival.requestId(), this.arrival.path());
+		return switch (check) {
+			case COMPLETE -> CallerOutcome.COMPLETED;
+			case PARTIAL -> CallerOutcome.PARTIAL_ANSWER;
+			case WRONG -> CallerOutcome.WRONG_ANSWER;
+		};
+	}
+
 	private void again() {
 		// An order that may have run is repeated with its ticket only, which is safe.
 		boolean mayRepeat = !this.arrival.kind().order() || !this.ticket.isEmpty() || onlyRefused();
 		if (!mayRepeat || this.attempts >= this.behaviour.maximumAttempts() || remainingMilliseconds() <= 0) {
-			end(outcome());
+			giveUp();
 			return;
 		}
 		long pause = ThreadLocalRandom.current().nextLong(2 * this.behaviour.pauseMilliseconds() + 1);
@@ -144,6 +150,17 @@
 		this.timer.schedule(needsTicket ? this::reserve : this::attempt, pause, TimeUnit.MILLISECONDS);
 	}
 
+	private void giveUp() {
+		if (this.ticket.isEmpty() || onlyRefused()) {
+			end(outcome());
+			return;
+		}
+		this.client.result(entryUrl(), this.ticket, RESULT_TIMEOUT).whenComplete((response, ex) -> {
+			boolean known = response != null && response.statusCode() == OK;
+			end(known ? outcomeOf(response) : outcome());
+		});
+	}
+
 	private boolean onlyRefused() {
 		return !this.someUnanswered && !this.someRan && !this.someUnknown;
 	}
