Add the latency experiment

Cause: the target of 1.5 ms added to a call, the memory and the idle processor use of a node are to be measured. Change: the same calls direct and through nodes at the same time, for one hop and for a chain; backend servers can call each other without nodes.

--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 
 import org.wasabicart.experiment.demo.DemoExperiment;
+import org.wasabicart.experiment.latency.LatencyExperiment;
 import org.wasabicart.experiment.overload.OverloadExperiment;
 
 /**
@@ -37,6 +38,7 @@
 	public static ExperimentRegistry standard() {
 		List<Experiment> experiments = new ArrayList<>();
 		experiments.add(new DemoExperiment());
+		experiments.add(new LatencyExperiment());
 		experiments.addAll(OverloadExperiment.all());
 		return new ExperimentRegistry(experiments);
 	}
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ScaledPlans.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ScaledPlans.java
@@ -61,7 +61,7 @@
 						new KindModel("stock-lookup", 60, 3, false, "stores", "/stock", 1_000, 2, 0.25),
 						new KindModel("design-lookup", 40, 1, false, "catalogue", "/designs", 1_000, 2, 0.4),
 						new KindModel("design-preview", 10, 0.2, false, "catalogue", "/previews", 1_000, 1, 0.3)),
-				0.5, REGION_MILLISECONDS, REGION_MEGABITS);
+				0.5, REGION_MILLISECONDS, REGION_MEGABITS, true);
 	}
 
 	/**
@@ -80,7 +80,7 @@
 						0.05), new KindModel("shelf-count", 60, 3, false, "counter-desk", "/shelves", 1_000, 2, 0.4),
 						new KindModel("ingredient-lot", 40, 2, false, "lot-desk", "/lots", 1_000, 2, 0.3),
 						new KindModel("cold-room-holding", 20, 1, false, "chill-desk", "/cold-rooms", 1_000, 1, 0.25)),
-				1.5, REGION_MILLISECONDS, REGION_MEGABITS);
+				1.5, REGION_MILLISECONDS, REGION_MEGABITS, true);
 	}
 
 	private static ServiceModel service(String name, int slots, int connections, int divisor, String calls) {
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/Deployment.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/Deployment.java
@@ -48,7 +48,8 @@
 					String name = service.name() + "-" + domain.name() + "-" + server;
 					this.nodes.add(new DeployedNode(index, name, service.name(), domain,
 							"http://" + this.addresses.http(index), "http://" + this.addresses.localHttp(index),
-							this.addresses.listen(index), this.addresses.advertised(index),
+							this.addresses.listen(index),
+							plan.relayed() ? this.addresses.advertised(index) : this.addresses.listen(index),
 							this.addresses.backend(index)));
 					index++;
 				}
@@ -71,7 +72,9 @@
 			throws IOException, InterruptedException {
 		Deployment deployment = new Deployment(harness, plan, mode, prefix);
 		deployment.processes.put("store", deployment.launcher.startStore());
-		deployment.processes.put("relay", deployment.launcher.startRelay(deployment.nodes));
+		if (plan.relayed()) {
+			deployment.processes.put("relay", deployment.launcher.startRelay(deployment.nodes));
+		}
 		deployment.processes.put("backends", deployment.launcher.startBackends(deployment.nodes));
 		deployment.control.awaitOk(deployment.storeUrl() + "/standin/counts", READY_TIMEOUT);
 		deployment.publish(new ConfigurationWriter(plan).json());
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/DeploymentLauncher.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/DeploymentLauncher.java
@@ -18,13 +18,6 @@
  */
 final class DeploymentLauncher {
 
-	/** Flags with which a node stays below 256 MB of resident memory. */
-	static final List<String> NODE_JVM_FLAGS = List.of("-Xmx96m", "-Xss256k", "-XX:+UseSerialGC",
-			"-XX:ReservedCodeCacheSize=48m", "-XX:MaxDirectMemorySize=32m", "-XX:TieredStopAtLevel=1");
-
-	private static final List<String> STANDIN_JVM_FLAGS = List.of("-Xmx256m", "-XX:+UseSerialGC",
-			"-XX:TieredStopAtLevel=1");
-
 	private static final int KEY_BYTES = 32;
 
 	private static final int SEEDS = 4;
@@ -58,7 +51,7 @@
 	}
 
 	ManagedProcess startStore() throws IOException {
-		return start("store", STANDIN_JVM_FLAGS, "org.wasabicart.standin.store.StoreMain",
+		return start("store", JvmFlags.STANDIN, "org.wasabicart.standin.store.StoreMain",
 				List.of("--address", this.addresses.store()));
 	}
 
@@ -77,7 +70,7 @@
 		}
 		Path file = this.directory.resolve("relay.json");
 		this.mapper.writeValue(file.toFile(), rules);
-		return start("relay", STANDIN_JVM_FLAGS, "org.wasabicart.standin.relay.RelayMain",
+		return start("relay", JvmFlags.STANDIN, "org.wasabicart.standin.relay.RelayMain",
 				List.of("--rules", file.toString(), "--control-address", this.addresses.relayControl()));
 	}
 
@@ -98,7 +91,7 @@
 		}
 		Path file = this.directory.resolve("servers.json");
 		this.mapper.writeValue(file.toFile(), servers);
-		return start("backends", STANDIN_JVM_FLAGS, "org.wasabicart.standin.backend.BackendMain",
+		return start("backends", JvmFlags.STANDIN, "org.wasabicart.standin.backend.BackendMain",
 				List.of("--servers", file.toString(), "--history", history().toString()));
 	}
 
@@ -118,7 +111,7 @@
 		flags.addAll(List.of("--store", "http://" + this.addresses.store(), "--seeds", seeds));
 		flags.addAll(List.of("--shared-key-file", this.directory.resolve("shared-key").toString()));
 		flags.addAll(List.of("--log-format", "key-value", "--log-level", "INFO", "--control", this.mode.flag()));
-		return start(node.name(), NODE_JVM_FLAGS, "org.wasabicart.node.NodeMain", flags);
+		return start(node.name(), JvmFlags.NODE, "org.wasabicart.node.NodeMain", flags);
 	}
 
 	private ManagedProcess start(String name, List<String> jvmFlags, String mainClass, List<String> arguments)
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/DeploymentPlan.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/DeploymentPlan.java
@@ -12,9 +12,10 @@
  * @param domainMilliseconds one-way delay between failure domains of a region
  * @param regionMilliseconds one-way delay between regions
  * @param regionMegabits capacity of the link between regions, in Mbit/s each way
+ * @param relayed whether peers reach each other through the network relay
  */
 public record DeploymentPlan(String name, List<DomainModel> domains, List<ServiceModel> services, List<KindModel> kinds,
-		double domainMilliseconds, double regionMilliseconds, double regionMegabits) {
+		double domainMilliseconds, double regionMilliseconds, double regionMegabits, boolean relayed) {
 
 	/** Tenant of all requests. */
 	public static final String TENANT = "shop";
--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/latency/LatencyExperiment.java
@@ -0,0 +1,160 @@
+package org.wasabicart.experiment.latency;
+
+import java.time.Duration;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import joptsimple.OptionParser;
+import org.HdrHistogram.Histogram;
+
+import org.wasabicart.experiment.Experiment;
+import org.wasabicart.experiment.ExperimentArguments;
+import org.wasabicart.experiment.harness.AddressPlan;
+import org.wasabicart.experiment.harness.ControlMode;
+import org.wasabicart.experiment.harness.DeployedNode;
+import org.wasabicart.experiment.harness.Deployment;
+import org.wasabicart.experiment.harness.DeploymentPlan;
+import org.wasabicart.experiment.harness.JvmFlags;
+import org.wasabicart.experiment.harness.ManagedProcess;
+import org.wasabicart.experiment.harness.ProcessHarness;
+import org.wasabicart.standin.caller.ArrivalSchedule;
+import org.wasabicart.standin.caller.CallerBehaviour;
+import org.wasabicart.standin.caller.CallerKind;
+import org.wasabicart.standin.caller.LoadGenerator;
+import org.wasabicart.standin.caller.LoadPhase;
+import org.wasabicart.standin.caller.LoadResult;
+
+/**
+ * Sends the same calls directly and through nodes at the same time, for one hop and for a
+ * chain, and reads the nodes' memory and processor use.
+ */
+public final class LatencyExperiment implements Experiment {
+
+	private static final String DEFAULT_DEPTH = "11";
+
+	// 120,000 calls/s on 680 nodes.
+	private static final String DEFAULT_RATE = "176";
+
+	private static final String DEFAULT_SECONDS = "8";
+
+	private static final double WARM_UP_SECONDS = 6;
+
+	private static final Duration IDLE_INTERVAL = Duration.ofSeconds(5);
+
+	private static final CallerBehaviour ONCE = new CallerBehaviour(5_000, 1, 0, false);
+
+	private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
+
+	private static final double MEDIAN = 50;
+
+	private static final double P99 = 99;
+
+	@Override
+	public String name() {
+		return "latency";
+	}
+
+	@Override
+	public String description() {
+		return "Latency that two nodes add to a call, memory, and processor use without calls";
+	}
+
+	@Override
+	public void declareFlags(OptionParser parser) {
+		parser.accepts("depth", "Depth of the chain").withRequiredArg().defaultsTo(DEFAULT_DEPTH);
+		parser.accepts("rate", "Calls each second and node").withRequiredArg().defaultsTo(DEFAULT_RATE);
+		parser.accepts("seconds", "Length of each measurement").withRequiredArg().defaultsTo(DEFAULT_SECONDS);
+	}
+
+	@Override
+	public JsonNode run(ExperimentArguments arguments) throws Exception {
+		int depth = (int) arguments.number("depth");
+		DeploymentPlan plan = ChainPlan.of(depth);
+		ObjectNode report = JsonNodeFactory.instance.objectNode();
+		report.put("jvmFlags", String.join(" ", JvmFlags.NODE));
+		try (ProcessHarness harness = new ProcessHarness()) {
+			DirectChain direct = new DirectChain(AddressPlan.free(arguments.addressPrefix()), depth);
+			direct.start(harness, JvmFlags.STANDIN);
+			Deployment deployment = Deployment.start(harness, plan, ControlMode.WASABICART, arguments.addressPrefix());
+			deployment.awaitReady();
+			deployment.control().awaitOk(direct.chainUrl() + "/health", Duration.ofSeconds(20));
+			List<ManagedProcess> nodes = deployment.nodes()
+				.stream()
+				.map((node) -> deployment.process(node.name()))
+				.toList();
+			report.put("controlCoreShare", round(mean(ProcessUse.coreShares(nodes, IDLE_INTERVAL))));
+			report.put("residentMegabytesIdle", round(Collections.max(ProcessUse.residentMegabytes(nodes))));
+			DeployedNode entry = deployment.nodes(ChainPlan.ENTRY_SERVICE).get(0);
+			report.set("oneHop", compare(ChainPlan.HOP_KIND, entry.httpUrl(), direct.lastUrl(), arguments));
+			report.set("chain", compare(ChainPlan.CHAIN_KIND, entry.httpUrl(), direct.chainUrl(), arguments));
+			report.put("residentMegabytes", round(Collections.max(ProcessUse.residentMegabytes(nodes))));
+			report.put("chainDepth", depth);
+			report.put("addedMedianMilliseconds", report.path("oneHop").path("addedMedianMilliseconds").asDouble());
+			report.put("addedP99Milliseconds", report.path("oneHop").path("addedP99Milliseconds").asDouble());
+		}
+		arguments.output().println(report);
+		return report;
+	}
+
+	private static ObjectNode compare(String kind, String nodeUrl, String directUrl, ExperimentArguments arguments)
+			throws Exception {
+		double rate = arguments.decimal("rate");
+		double seconds = arguments.decimal("seconds");
+		load(kind, nodeUrl, directUrl, rate, WARM_UP_SECONDS, arguments.seed());
+		List<LoadResult> results = load(kind, nodeUrl, directUrl, rate, seconds, arguments.seed() + 1);
+		Histogram through = results.get(0).latencies(kind);
+		Histogram direct = results.get(1).latencies(kind);
+		ObjectNode figures = JsonNodeFactory.instance.objectNode();
+		figures.put("addedMedianMilliseconds", milliseconds(through, MEDIAN) - milliseconds(direct, MEDIAN));
+		figures.put("addedP99Milliseconds", milliseconds(through, P99) - milliseconds(direct, P99));
+		figures.put("throughNodesMedianMilliseconds", milliseconds(through, MEDIAN));
+		figures.put("throughNodesP99Milliseconds", milliseconds(through, P99));
+		figures.put("directMedianMilliseconds", milliseconds(direct, MEDIAN));
+		figures.put("directP99Milliseconds", milliseconds(direct, P99));
+		figures.put("answeredThroughNodes", through.getTotalCount());
+		figures.put("answeredDirect", direct.getTotalCount());
+		figures.put("sent", results.get(0).records().size());
+		figures.put("generatorLagMilliseconds",
+				round(results.get(0).maximumLagNanoseconds() / NANOSECONDS_PER_MILLISECOND));
+		return figures;
+	}
+
+	private static List<LoadResult> load(String kind, String nodeUrl, String directUrl, double rate, double seconds,
+			long seed) throws Exception {
+		CallerKind callerKind = new CallerKind(kind, "/" + kind, false, ONCE.patienceMilliseconds(), 1);
+		List<LoadPhase> phases = List.of(new LoadPhase(seconds, rate));
+		ExecutorService threads = Executors.newFixedThreadPool(2);
+		try (LoadGenerator through = new LoadGenerator(List.of(nodeUrl), DeploymentPlan.TENANT, ONCE);
+				LoadGenerator direct = new LoadGenerator(List.of(directUrl), DeploymentPlan.TENANT, ONCE)) {
+			List<Callable<LoadResult>> runs = List
+				.of(() -> through.run(ArrivalSchedule.create(seed, phases, List.of(callerKind)), (record) -> {
+				}), () -> direct.run(ArrivalSchedule.create(-seed, phases, List.of(callerKind)), (record) -> {
+				}));
+			List<Future<LoadResult>> results = threads.invokeAll(runs);
+			return List.of(results.get(0).get(), results.get(1).get());
+		}
+		finally {
+			threads.shutdownNow();
+		}
+	}
+
+	private static double milliseconds(Histogram histogram, double percentile) {
+		return round(histogram.getValueAtPercentile(percentile) / NANOSECONDS_PER_MILLISECOND);
+	}
+
+	private static double mean(List<Double> values) {
+		return values.stream().mapToDouble(Double::doubleValue).average().orElse(0);
+	}
+
+	private static double round(double value) {
+		return Math.round(value * 10_000) / 10_000.0;
+	}
+
+}
--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/latency/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Latency, memory and processor use of the nodes.
+ */
+package org.wasabicart.experiment.latency;
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendConfiguration.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendConfiguration.java
@@ -15,6 +15,7 @@
  * @param service service that it belongs to
  * @param address address to listen on
  * @param node URL of its node's local HTTP address; empty for a server without a node
+ * @param callUrl URL for its calls to other services; empty for its node
  * @param slots requests that it runs at once
  * @param connections requests that it holds at once, running or waiting; others are shed
  * @param serviceMilliseconds time of its own work for one request
@@ -27,14 +28,15 @@
  * @param coldFactor factor of the service time at the start, which falls to 1
  * @param seed seed of jitter and random faults
  */
-public record BackendConfiguration(String service, InetSocketAddress address, String node, int slots, int connections,
-		double serviceMilliseconds, double jitter, List<List<String>> calls, int answerBytes, long startingMilliseconds,
-		long coldMilliseconds, double coldFactor, long seed) {
+public record BackendConfiguration(String service, InetSocketAddress address, String node, String callUrl, int slots,
+		int connections, double serviceMilliseconds, double jitter, List<List<String>> calls, int answerBytes,
+		long startingMilliseconds, long coldMilliseconds, double coldFactor, long seed) {
 
 	public BackendConfiguration {
 		Objects.requireNonNull(service, "service");
 		Objects.requireNonNull(address, "address");
 		Objects.requireNonNull(node, "node");
+		callUrl = callUrl.isEmpty() ? node : callUrl;
 		calls = List.copyOf(calls);
 		if (slots < 1 || connections < slots) {
 			throw new IllegalArgumentException("Slots must be positive and connections at least as many: " + service);
@@ -50,11 +52,12 @@
 	public static BackendConfiguration of(JsonNode json) {
 		int slots = json.path("slots").asInt(10);
 		return new BackendConfiguration(json.path("service").asText(), Addresses.parse(json.path("address").asText()),
-				json.path("node").asText(""), slots, json.path("connections").asInt(slots * 7),
-				json.path("serviceMilliseconds").asDouble(10), json.path("jitter").asDouble(0.2),
-				parseCalls(json.path("calls").asText("")), json.path("answerBytes").asInt(256),
-				json.path("startingMilliseconds").asLong(0), json.path("coldMilliseconds").asLong(0),
-				json.path("coldFactor").asDouble(1), json.path("seed").asLong(1));
+				json.path("node").asText(""), json.path("callUrl").asText(""), slots,
+				json.path("connections").asInt(slots * 7), json.path("serviceMilliseconds").asDouble(10),
+				json.path("jitter").asDouble(0.2), parseCalls(json.path("calls").asText("")),
+				json.path("answerBytes").asInt(256), json.path("startingMilliseconds").asLong(0),
+				json.path("coldMilliseconds").asLong(0), json.path("coldFactor").asDouble(1),
+				json.path("seed").asLong(1));
 	}
 
 	/**
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendMain.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendMain.java
@@ -27,9 +27,9 @@
 	private static final long DRAIN_POLL_MILLISECONDS = 20;
 
 	// Flags of a single server; each is a field of its JSON form too.
-	private static final List<String> SERVER_FLAGS = List.of("service", "address", "node", "slots", "connections",
-			"service-milliseconds", "jitter", "calls", "answer-bytes", "starting-milliseconds", "cold-milliseconds",
-			"cold-factor", "seed");
+	private static final List<String> SERVER_FLAGS = List.of("service", "address", "node", "call-url", "slots",
+			"connections", "service-milliseconds", "jitter", "calls", "answer-bytes", "starting-milliseconds",
+			"cold-milliseconds", "cold-factor", "seed");
 
 	private BackendMain() {
 	}
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendServer.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendServer.java
@@ -58,7 +58,7 @@
 		this.behaviour = new BackendBehaviour(configuration, System::nanoTime);
 		this.queue = new SlotQueue(configuration.slots(), configuration.connections(), this::begin);
 		this.reports = new BackendReports(environment.timer(), this.queue, this.behaviour);
-		this.nestedCalls = new NestedCalls(environment.client(), configuration.node(), configuration.calls());
+		this.nestedCalls = new NestedCalls(environment.client(), configuration.callUrl(), configuration.calls());
 		this.announcer = new Announcer(environment, configuration, this::address, this.behaviour::state);
 	}
 
@@ -186,6 +186,10 @@
 		long microseconds = this.behaviour.nextServiceMicroseconds();
 		run.serviceMicroseconds(microseconds);
 		this.environment.history().write("start", run, "");
+		if (microseconds == 0) {
+			callOthers(run);
+			return;
+		}
 		run.add(this.environment.timer().schedule(() -> callOthers(run), microseconds, TimeUnit.MICROSECONDS));
 	}
 
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/NestedCalls.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/NestedCalls.java
@@ -62,7 +62,10 @@
 		HttpRequest.Builder builder = HttpRequest.newBuilder(URI.create(this.node + path))
 			.timeout(Duration.ofMillis(remaining))
 			.header("Wasabicart-Service", service)
-			.header("Wasabicart-Context", run.request().context());
+			.header("Wasabicart-Request-Id", run.root());
+		if (!run.request().context().isEmpty()) {
+			builder.header("Wasabicart-Context", run.request().context());
+		}
 		if (run.request().method().equals("POST")) {
 			builder.POST(HttpRequest.BodyPublishers.ofString(run.root()));
 		}
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/store/StoreStandin.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/store/StoreStandin.java
@@ -220,6 +220,7 @@
 	@Override
 	public void close() {
 		this.expiry.cancel();
+		this.watches.completeAll();
 		this.system.terminate();
 		this.system.getWhenTerminated().toCompletableFuture().join();
 	}
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/store/StoreWatches.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/store/StoreWatches.java
@@ -71,6 +71,10 @@
 		this.open.forEach((listener, queue) -> queue.fail(new IllegalStateException("Store is down")));
 	}
 
+	void completeAll() {
+		this.open.values().forEach(BoundedSourceQueue::complete);
+	}
+
 	private static ByteString line(JsonNode message) {
 		return ByteString.fromString(Json.text(message) + "\n");
 	}
--- a/wasabicart-standin/src/test/java/org/wasabicart/standin/backend/BackendServerTests.java
+++ b/wasabicart-standin/src/test/java/org/wasabicart/standin/backend/BackendServerTests.java
@@ -102,7 +102,7 @@
 		// The deeper server stands in for the node, since a node answers as it does.
 		BackendServer deeper = server(2, 4, 1, "", "");
 		BackendServer server = server(2, 4, 1, "http://127.0.0.1:" + deeper.address().getPort(), "quoting");
-		HttpResponse<byte[]> response = send(server, "/a", "").get(5, TimeUnit.SECONDS);
+		HttpResponse<byte[]> response = send(server, "/a", "root-1").get(5, TimeUnit.SECONDS);
 		assertThat(response.statusCode()).isEqualTo(200);
 		assertThat(history().stream().anyMatch((line) -> line.contains("\"path\":\"/quoting/a\""))).isTrue();
 	}
@@ -119,7 +119,7 @@
 
 	private BackendServer server(int slots, int connections, double serviceMilliseconds, String node, String calls) {
 		return BackendServer.start(this.environment,
-				new BackendConfiguration("stock", new InetSocketAddress("127.0.0.1", 0), node, slots, connections,
+				new BackendConfiguration("stock", new InetSocketAddress("127.0.0.1", 0), node, "", slots, connections,
 						serviceMilliseconds, 0, BackendConfiguration.parseCalls(calls), 300, 0, 0, 1, 1));
 	}
 
--- a/wasabicart-standin/src/test/java/org/wasabicart/standin/caller/LoadGeneratorTests.java
+++ b/wasabicart-standin/src/test/java/org/wasabicart/standin/caller/LoadGeneratorTests.java
@@ -74,7 +74,7 @@
 
 	private BackendServer server(double serviceMilliseconds) {
 		return BackendServer.start(this.environment,
-				new BackendConfiguration("stock", new InetSocketAddress("127.0.0.1", 0), "", 100, 200,
+				new BackendConfiguration("stock", new InetSocketAddress("127.0.0.1", 0), "", "", 100, 200,
 						serviceMilliseconds, 0, List.of(), 300, 0, 0, 1, 1));
 	}
 
