--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/NodeMain.java
@@ -0,0 +1,51 @@
+package org.wasabicart.node;
+
+import java.io.IOException;
+
+import org.jboss.logging.Logger;
+
+import org.wasabicart.node.settings.NodeSettings;
+import org.wasabicart.node.settings.SettingsException;
+import org.wasabicart.node.settings.SettingsReader;
+
+/**
+ * Entry point of the node process.
+ */
+public final class NodeMain {
+
+	private static final Logger LOGGER = Logger.getLogger(NodeMain.class);
+
+	private static final int EXIT_FINDING = 1;
+
+	private NodeMain() {
+	}
+
+	/**
+	 * Runs a node until the process receives SIGTERM or SIGINT.
+	 * @param arguments flags; see {@code --help}
+	 */
+	public static void main(String[] arguments) {
+		if (SettingsReader.asksForHelp(arguments)) {
+			System.out.print(SettingsReader.help());
+			return;
+		}
+		try {
+			run(new SettingsReader(System.getenv()).read(arguments));
+		}
+		catch (SettingsException ex) {
+			ex.findings().forEach(System.err::println);
+			System.exit(EXIT_FINDING);
+		}
+		catch (IOException ex) {
+			LOGGER.errorf(ex, "event=start-failed");
+			System.exit(EXIT_FINDING);
+		}
+	}
+
+	private static void run(NodeSettings settings) throws IOException {
+		Node node = NodeAssembly.assemble(settings);
+		Runtime.getRuntime().addShutdownHook(new Thread(node::close, "stop"));
+		node.start();
+	}
+
+}
