--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
@@ -8,6 +8,10 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.wasabicart.experiment.demo.DemoExperiment;
+import org.wasabicart.experiment.latency.LatencyExperiment;
+import org.wasabicart.experiment.overload.OverloadExperiment;
+
 /**
  * Experiments that the command line offers.
  */
@@ -33,6 +37,9 @@
 	 */
 	public static ExperimentRegistry standard() {
 		List<Experiment> experiments = new ArrayList<>();
+		experiments.add(new DemoExperiment());
+		experiments.add(new LatencyExperiment());
+		experiments.addAll(OverloadExperiment.all());
 		return new ExperimentRegistry(experiments);
 	}
 
