Connect the distribution of the configuration to the node

The node answered no pull and read no store. MembershipRunner now drives the distribution on its event loop, and the node's assembly gives it the store client, the links and the configuration holder.

Distribution between real processes is not measured yet.

--- a/wasabicart-node/src/main/java/org/wasabicart/node/MembershipService.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/MembershipService.java
@@ -9,14 +9,22 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import org.jboss.logging.Logger;
 
+import org.wasabicart.configuration.ConfigurationException;
+import org.wasabicart.configuration.ConfigurationFormat;
 import org.wasabicart.core.model.Member;
 import org.wasabicart.core.model.MemberState;
+import org.wasabicart.core.model.Revision;
 import org.wasabicart.core.model.ServiceName;
 import org.wasabicart.node.membership.LocalAnnouncement;
 import org.wasabicart.node.membership.MembershipListener;
 import org.wasabicart.node.membership.MembershipRunner;
 import org.wasabicart.node.membership.MembershipRunnerSettings;
+import org.wasabicart.node.peer.PeerTransport;
+import org.wasabicart.store.StoreClient;
+import org.wasabicart.wire.generated.link.ControlRequest;
+import org.wasabicart.wire.generated.link.ControlResponse;
 
 /**
  * Membership as a service of the node: announces the local backend server, and passes the
@@ -24,6 +32,8 @@
  */
 final class MembershipService implements NodeService {
 
+	private static final Logger LOGGER = Logger.getLogger(MembershipService.class);
+
 	private static final long SHUTDOWN_MILLISECONDS = 1000;
 
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
@@ -33,12 +43,34 @@
 
 	private final MembershipRunner runner;
 
-	MembershipService(NodeParts parts, byte[] sharedKey, MembershipListener listener) {
+	private final ConfigurationFormat format = new ConfigurationFormat();
+
+	private final Optional<StoreClient> store;
+
+	MembershipService(NodeParts parts, byte[] sharedKey, PeerTransport transport, Optional<StoreClient> store,
+			MembershipListener listener) {
+		this.store = store;
 		this.parts = parts;
 		MembershipRunnerSettings settings = new MembershipRunnerSettings(parts.settings().nodeId(), parts.instance(),
 				parts.settings().failureDomain(), parts.settings().region(), parts.settings().listenAddress(),
 				parts.settings().advertisedAddress(), parts.settings().seeds(), Optional.of(sharedKey));
 		this.runner = new MembershipRunner(settings, this.group, this::announcement, listener);
+		this.runner.distribute(store, transport, this::adopt);
+	}
+
+	private boolean adopt(Revision revision, byte[] json) {
+		try {
+			this.parts.configuration().adopt(this.format.read("revision " + revision, json, revision));
+			return true;
+		}
+		catch (ConfigurationException ex) {
+			LOGGER.errorf("event=configuration-invalid revision=%s findings=%s", revision, ex.findings());
+			return false;
+		}
+	}
+
+	ControlResponse answer(ControlRequest request) {
+		return this.runner.answer(request);
 	}
 
 	private LocalAnnouncement announcement() {
@@ -74,6 +106,7 @@
 	@Override
 	public void close() {
 		this.runner.close();
+		this.store.ifPresent(StoreClient::close);
 		this.group.shutdownGracefully(0, SHUTDOWN_MILLISECONDS, TimeUnit.MILLISECONDS);
 	}
 
--- a/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
@@ -4,8 +4,10 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.DoubleSupplier;
 import java.util.random.RandomGenerator;
@@ -30,6 +32,9 @@
 import org.wasabicart.node.peer.ControlHandler;
 import org.wasabicart.node.request.LocalAdmission;
 import org.wasabicart.node.settings.NodeSettings;
+import org.wasabicart.store.HttpStoreClient;
+import org.wasabicart.store.StoreClient;
+import org.wasabicart.wire.generated.link.ControlRequest;
 import org.wasabicart.wire.generated.link.ControlResponse;
 
 /**
@@ -37,6 +42,8 @@
  */
 final class NodeAssembly {
 
+	private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
+
 	private final NodeSettings settings;
 
 	private final Ticker ticker = System::nanoTime;
@@ -71,7 +78,8 @@
 		LinkTransport links = links(instance, sharedKey);
 		node.connect(links);
 		node.addService(new LinkService(links, node.peerHandler(), controls()));
-		this.membership = new MembershipService(parts, sharedKey, parts.decisions().router()::updateMembers);
+		this.membership = new MembershipService(parts, sharedKey, node.transport(), store(node),
+				parts.decisions().router()::updateMembers);
 		node.addService(this.membership);
 		return node;
 	}
@@ -88,8 +96,22 @@
 				LinkLimits.DEFAULT, this.ticker, this.random);
 	}
 
-	private static ControlHandler controls() {
-		return (request) -> CompletableFuture.completedFuture(ControlResponse.getDefaultInstance());
+	private Optional<StoreClient> store(Node node) {
+		if (this.settings.store().isEmpty()) {
+			return Optional.empty();
+		}
+		return Optional.of(new HttpStoreClient(node.system(), this.settings.store(), STORE_TIMEOUT));
+	}
+
+	private ControlHandler controls() {
+		return (request) -> CompletableFuture.completedFuture(control(request));
+	}
+
+	private ControlResponse control(ControlRequest request) {
+		if (request.getContentCase() == ControlRequest.ContentCase.CONFIGURATION_ABOVE_REVISION) {
+			return this.membership.answer(request);
+		}
+		return ControlResponse.getDefaultInstance();
 	}
 
 	private Decisions decisions() {
--- a/wasabicart-node/src/main/java/org/wasabicart/node/membership/ConfigurationDistribution.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/membership/ConfigurationDistribution.java
@@ -138,10 +138,11 @@
 	}
 
 	/**
-	 * Ends the watch. The contact entry ends with its lease.
+	 * Ends the watch and the contact entry.
 	 */
 	public void close() {
 		this.watch.ifPresent(RelayWatch::stop);
+		this.entries.ifPresent(ContactEntries::close);
 	}
 
 }
--- a/wasabicart-node/src/main/java/org/wasabicart/node/membership/ContactEntries.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/membership/ContactEntries.java
@@ -134,6 +134,16 @@
 		}
 	}
 
+	/**
+	 * Ends the lease, so that no new node is sent to a node that has left. If the call
+	 * fails, the entry ends with its time to live.
+	 */
+	void close() {
+		if (this.lease.isHeld()) {
+			this.store.revoke(this.leaseId);
+		}
+	}
+
 	private void read() {
 		this.reading = true;
 		this.store.list(PREFIX).whenComplete((values, ex) -> this.executor.execute(() -> readEnded(values, ex)));
--- a/wasabicart-node/src/main/java/org/wasabicart/node/membership/MembershipListener.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/membership/MembershipListener.java
@@ -3,12 +3,11 @@
 import java.util.Collection;
 
 import org.wasabicart.core.model.Member;
-import org.wasabicart.core.model.NodeAddress;
-import org.wasabicart.core.model.Revision;
 
 /**
  * Receives what membership learns. Invoked on the membership thread; must not block.
  */
+@FunctionalInterface
 public interface MembershipListener {
 
 	/**
@@ -17,12 +16,4 @@
 	 */
 	void viewChanged(Collection<Member> members);
 
-	/**
-	 * A peer has a higher configuration revision than the local node.
-	 * @param peer advertised address of the peer
-	 * @param revision the peer's revision
-	 */
-	default void newerRevisionSeen(NodeAddress peer, Revision revision) {
-	}
-
 }
--- a/wasabicart-node/src/main/java/org/wasabicart/node/membership/MembershipRunner.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/membership/MembershipRunner.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
@@ -34,7 +35,11 @@
 import org.wasabicart.core.membership.PeerMessage;
 import org.wasabicart.core.model.Member;
 import org.wasabicart.core.model.NodeAddress;
+import org.wasabicart.node.peer.PeerTransport;
+import org.wasabicart.store.StoreClient;
 import org.wasabicart.wire.MembershipCodec;
+import org.wasabicart.wire.generated.link.ControlRequest;
+import org.wasabicart.wire.generated.link.ControlResponse;
 
 /**
  * Runs the membership of the local node over UDP. The event loops are the caller's; the
@@ -65,6 +70,8 @@
 
 	private MembershipController controller;
 
+	private Optional<ConfigurationDistribution> distribution = Optional.empty();
+
 	private Channel channel;
 
 	private Future<?> ticks;
@@ -92,6 +99,28 @@
 		this.ticker = System::nanoTime;
 	}
 
+	/**
+	 * Adds the distribution of the configuration. To be invoked before {@link #start()}.
+	 * @param store store, if the node has one
+	 * @param transport transport to peers
+	 * @param sink puts configurations in force
+	 */
+	public void distribute(Optional<StoreClient> store, PeerTransport transport, ConfigurationSink sink) {
+		this.distribution = Optional.of(new ConfigurationDistribution(localMember(), store, transport, sink,
+				this::contacts, this.ticker, RandomGenerator.getDefault(), this::execute));
+	}
+
+	/**
+	 * Answers a peer that asks for a newer configuration. Safe for use by several
+	 * threads.
+	 * @param request request with a revision
+	 * @return the configuration, or an empty response if there is nothing newer
+	 */
+	public ControlResponse answer(ControlRequest request) {
+		return this.distribution.map((current) -> current.answer(request))
+			.orElseGet(ControlResponse::getDefaultInstance);
+	}
+
 	/**
 	 * Binds the listen address and joins.
 	 * @throws io.netty.channel.ChannelException if the address cannot be bound
@@ -148,6 +177,7 @@
 		CompletableFuture<Void> done = new CompletableFuture<>();
 		eventLoop().execute(() -> {
 			this.ticks.cancel(false);
+			this.distribution.ifPresent(ConfigurationDistribution::close);
 			send(this.controller.leave());
 			this.channel.close().addListener((closed) -> done.complete(null));
 		});
@@ -162,6 +192,16 @@
 		}
 	}
 
+	// Store calls can complete after the node has stopped.
+	private void execute(Runnable task) {
+		try {
+			eventLoop().execute(task);
+		}
+		catch (RejectedExecutionException ex) {
+			LOGGER.debugf("event=membership-stopped node=%s", this.settings.nodeId());
+		}
+	}
+
 	private EventLoop eventLoop() {
 		return this.channel.eventLoop();
 	}
@@ -179,6 +219,7 @@
 			this.controller.announce(localMember());
 			send(this.controller.tick());
 			report();
+			this.distribution.ifPresent((current) -> current.tick(this.members));
 		}
 		catch (RuntimeException ex) {
 			LOGGER.errorf(ex, "event=membership-tick-failed node=%s", this.settings.nodeId());
@@ -188,7 +229,8 @@
 	private void received(PeerMessage message) {
 		send(this.controller.received(message));
 		if (message.sender().revision().compareTo(this.announcement.get().revision()) > 0) {
-			this.listener.newerRevisionSeen(message.sender().address(), message.sender().revision());
+			this.distribution.ifPresent(
+					(current) -> current.newerRevisionSeen(message.sender().address(), message.sender().revision()));
 		}
 		report();
 	}
