Add the configuration experiment and register both experiments

How fast a configuration is in force and what distribution costs the store was not known. The experiment runs the real distribution and publisher against a store in virtual time with a 3 min outage, lost responses, stale reads, silent watches and restarts, while both owners publish, also at the same moment.

--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
@@ -10,6 +10,8 @@
 
 import org.wasabicart.experiment.demo.DemoExperiment;
 import org.wasabicart.experiment.latency.LatencyExperiment;
+import org.wasabicart.experiment.membership.ConfigurationExperiment;
+import org.wasabicart.experiment.membership.MembershipExperiment;
 import org.wasabicart.experiment.overload.OverloadExperiment;
 
 /**
@@ -40,6 +42,8 @@
 		experiments.add(new DemoExperiment());
 		experiments.add(new LatencyExperiment());
 		experiments.addAll(OverloadExperiment.all());
+		experiments.add(new MembershipExperiment());
+		experiments.add(new ConfigurationExperiment());
 		return new ExperimentRegistry(experiments);
 	}
 
--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/ConfigurationExperiment.java
@@ -0,0 +1,203 @@
+package org.wasabicart.experiment.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import joptsimple.OptionParser;
+
+import org.wasabicart.experiment.Experiment;
+import org.wasabicart.experiment.ExperimentArguments;
+
+/**
+ * Measures how fast an accepted configuration is in force on all nodes, and whether one
+ * reverts or is lost, while both owners publish, the store fails, responses are lost,
+ * reads are stale and nodes restart.
+ */
+public final class ConfigurationExperiment implements Experiment {
+
+	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+	private static final long STEP = TimeUnit.MILLISECONDS.toNanos(50);
+
+	private static final long START_SPREAD = 10 * SECOND;
+
+	private static final long SETTLE = 30 * SECOND;
+
+	/** Longest time for which one change is observed. */
+	private static final long OBSERVATION = 60 * SECOND;
+
+	private static final long PUBLISH_INTERVAL = 6 * SECOND;
+
+	private static final int CHANGES = 60;
+
+	private static final int OUTAGE_AT_CHANGE = 20;
+
+	private static final int OUTAGE_SECONDS = 180;
+
+	private static final int QUIET_SECONDS = 120;
+
+	private static final double LOST_RESPONSES = 0.2;
+
+	private static final double STALE_READS = 0.2;
+
+	private static final long RESTART_AFTER = 3 * SECOND;
+
+	/** A node that has just started is given this time to find a configuration. */
+	private static final long JOIN_TIME = 10 * SECOND;
+
+	@Override
+	public String name() {
+		return "configuration";
+	}
+
+	@Override
+	public String description() {
+		return "time until a configuration is in force everywhere, with two owners and store faults";
+	}
+
+	@Override
+	public void declareFlags(OptionParser parser) {
+		parser.accepts("nodes", "Number of nodes").withRequiredArg().defaultsTo("80");
+	}
+
+	@Override
+	public JsonNode run(ExperimentArguments arguments) throws Exception {
+		return measure((int) arguments.number("nodes"), arguments.seed());
+	}
+
+	JsonNode measure(int nodes, long seed) throws Exception {
+		ConfigurationFleet fleet = new ConfigurationFleet(FleetLayout.planned(nodes), seed);
+		PublishingOwners owners = new PublishingOwners(fleet.store());
+		owners.publishFirst();
+		fleet.nodes().startAll(START_SPREAD);
+		VirtualTime time = fleet.nodes().time();
+		time.runUntil(START_SPREAD + SETTLE);
+		ObjectNode report = JsonNodeFactory.instance.objectNode();
+		report.put("nodes", nodes);
+		report.put("configuredAfterStart", fleet.lowestRevision(time.nanoseconds()) > 0);
+		quiet(fleet, report);
+		fleet.store().faults(LOST_RESPONSES, STALE_READS);
+		List<Double> inForce = new ArrayList<>();
+		Outage outage = new Outage();
+		for (int change = 0; change < CHANGES; change++) {
+			if (change == OUTAGE_AT_CHANGE) {
+				outage(fleet, owners, outage);
+			}
+			restartOne(fleet);
+			publishAndObserve(fleet, owners, change, inForce);
+		}
+		time.runUntil(time.nanoseconds() + SETTLE);
+		report.put("changesAccepted", owners.accepted().size());
+		report.put("changesUnknown", owners.unknown());
+		report.put("changesNotWritten", owners.notWritten());
+		report.put("inForceSecondsMedian", Quantiles.of(inForce, 0.5));
+		report.put("inForceSecondsP99", Quantiles.of(inForce, 0.99));
+		report.put("inForceSecondsMaximum", Quantiles.of(inForce, 1));
+		report.put("inForceSecondsAfterOutage", outage.inForceSeconds);
+		report.put("storeCallsPerSecondInOutage", outage.callsPerSecond);
+		report.put("storeCallsInFirstSecondAfterOutage", outage.callsAfterwards);
+		report.put("restartedWithoutStoreConfigured", outage.restartedConfigured);
+		report.put("reverted", fleet.revertedCount());
+		report.put("lostAccepted", owners.lostAccepted());
+		report.put("pullsPerChangePerNode", (double) fleet.pulls() / owners.accepted().size() / nodes);
+		report.put("pulledBytesPerChangePerNode", (double) fleet.pulledBytes() / owners.accepted().size() / nodes);
+		report.put("pulledAcrossRegionsPerChange", (double) fleet.pulledAcrossRegions() / owners.accepted().size());
+		return report;
+	}
+
+	private static void quiet(ConfigurationFleet fleet, ObjectNode report) {
+		long calls = fleet.store().calls();
+		VirtualTime time = fleet.nodes().time();
+		time.runUntil(time.nanoseconds() + QUIET_SECONDS * SECOND);
+		report.put("storeCallsPerSecond", (double) (fleet.store().calls() - calls) / QUIET_SECONDS);
+		report.put("pendingWatches", fleet.store().openWatches());
+		report.put("contactEntries", fleet.store().list("/wasabicart/contacts/").size());
+	}
+
+	private static void publishAndObserve(ConfigurationFleet fleet, PublishingOwners owners, int change,
+			List<Double> inForce) {
+		VirtualTime time = fleet.nodes().time();
+		int before = owners.accepted().size();
+		long start = time.nanoseconds();
+		owners.publish(change % 2 == 0, change % 3 == 0);
+		if (owners.accepted().size() > before) {
+			inForce.add(observe(fleet, highest(owners, before)));
+		}
+		time.runUntil(Math.max(time.nanoseconds(), start + PUBLISH_INTERVAL));
+	}
+
+	private static long highest(PublishingOwners owners, int from) {
+		return owners.accepted()
+			.subList(from, owners.accepted().size())
+			.stream()
+			.mapToLong((accepted) -> accepted.revision().value())
+			.max()
+			.orElseThrow();
+	}
+
+	private static double observe(ConfigurationFleet fleet, long revision) {
+		VirtualTime time = fleet.nodes().time();
+		long start = time.nanoseconds();
+		while (time.nanoseconds() - start < OBSERVATION) {
+			time.runUntil(time.nanoseconds() + STEP);
+			if (fleet.lowestRevision(time.nanoseconds() - JOIN_TIME) >= revision) {
+				break;
+			}
+		}
+		return (double) (time.nanoseconds() - start) / SECOND;
+	}
+
+	private static void outage(ConfigurationFleet fleet, PublishingOwners owners, Outage outage) {
+		VirtualTime time = fleet.nodes().time();
+		long expected = fleet.lowestRevision(time.nanoseconds() - JOIN_TIME);
+		fleet.store().outage();
+		long calls = fleet.store().calls();
+		for (int second = 0; second < OUTAGE_SECONDS; second++) {
+			if (second % 20 == 0) {
+				restartOne(fleet);
+			}
+			time.runUntil(time.nanoseconds() + SECOND);
+		}
+		outage.callsPerSecond = (double) (fleet.store().calls() - calls) / OUTAGE_SECONDS;
+		outage.restartedConfigured = fleet.lowestRevision(time.nanoseconds() - JOIN_TIME) >= expected;
+		fleet.store().recover();
+		calls = fleet.store().calls();
+		int before = owners.accepted().size();
+		while (owners.accepted().size() == before) {
+			owners.publish(true, false);
+		}
+		long published = fleet.store().calls() - calls;
+		long start = time.nanoseconds();
+		time.runUntil(start + SECOND);
+		outage.callsAfterwards = fleet.store().calls() - calls - published;
+		observe(fleet, highest(owners, before));
+		outage.inForceSeconds = (double) (time.nanoseconds() - start) / SECOND;
+	}
+
+	private static void restartOne(ConfigurationFleet fleet) {
+		MembershipFleet nodes = fleet.nodes();
+		List<FleetNode> running = nodes.running();
+		FleetNode victim = running.get(nodes.random().nextInt(running.size()));
+		nodes.crash(victim);
+		nodes.time()
+			.schedule(nodes.time().nanoseconds() + RESTART_AFTER,
+					() -> nodes.start(victim.index, victim.id().value(), victim.local.instance().value() + 1));
+	}
+
+	private static final class Outage {
+
+		private double callsPerSecond;
+
+		private long callsAfterwards;
+
+		private double inForceSeconds;
+
+		private boolean restartedConfigured;
+
+	}
+
+}
--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/ConfigurationFleet.java
@@ -0,0 +1,97 @@
+package org.wasabicart.experiment.membership;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import org.wasabicart.configuration.ConfigurationException;
+import org.wasabicart.configuration.ConfigurationFormat;
+import org.wasabicart.core.membership.MembershipSettings;
+import org.wasabicart.core.model.Revision;
+
+/**
+ * Fleet whose nodes distribute the configuration from a store in virtual time.
+ */
+final class ConfigurationFleet {
+
+	private final MembershipFleet nodes;
+
+	private final VirtualStore store;
+
+	private final ConfigurationFormat format = new ConfigurationFormat();
+
+	private final Set<Long> checked = new HashSet<>();
+
+	private long reverted;
+
+	private long pulls;
+
+	private long pulledBytes;
+
+	private long pulledAcrossRegions;
+
+	ConfigurationFleet(FleetLayout layout, long seed) {
+		this.nodes = new MembershipFleet(layout, MembershipSettings.defaults(), seed);
+		this.store = new VirtualStore(this.nodes.time(), this.nodes.random().split());
+		this.nodes.extend((node) -> new ConfiguredNode(this, node, new VirtualStoreClient(this.store, false)));
+	}
+
+	// Equal for all nodes, so that it is checked once for each revision.
+	boolean isValid(Revision revision, byte[] json) {
+		if (this.checked.contains(revision.value())) {
+			return true;
+		}
+		try {
+			this.format.read("store", json, revision);
+			this.checked.add(revision.value());
+			return true;
+		}
+		catch (ConfigurationException ex) {
+			return false;
+		}
+	}
+
+	void reverted() {
+		this.reverted++;
+	}
+
+	void pulled(long bytes, boolean acrossRegions) {
+		this.pulls++;
+		this.pulledBytes += bytes;
+		this.pulledAcrossRegions += acrossRegions ? bytes : 0;
+	}
+
+	long lowestRevision(long startedBefore) {
+		long lowest = Long.MAX_VALUE;
+		for (FleetNode node : this.nodes.running()) {
+			if (node.startedAt <= startedBefore && !node.paused) {
+				lowest = Math.min(lowest, ((ConfiguredNode) node.extension).revision());
+			}
+		}
+		return lowest;
+	}
+
+	MembershipFleet nodes() {
+		return this.nodes;
+	}
+
+	VirtualStore store() {
+		return this.store;
+	}
+
+	long revertedCount() {
+		return this.reverted;
+	}
+
+	long pulls() {
+		return this.pulls;
+	}
+
+	long pulledBytes() {
+		return this.pulledBytes;
+	}
+
+	long pulledAcrossRegions() {
+		return this.pulledAcrossRegions;
+	}
+
+}
--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/ConfiguredNode.java
@@ -0,0 +1,124 @@
+package org.wasabicart.experiment.membership;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.wasabicart.core.membership.PeerMessage;
+import org.wasabicart.core.model.Member;
+import org.wasabicart.core.model.NodeAddress;
+import org.wasabicart.core.model.Revision;
+import org.wasabicart.node.membership.ConfigurationDistribution;
+import org.wasabicart.node.peer.CallRequest;
+import org.wasabicart.node.peer.PeerCall;
+import org.wasabicart.node.peer.PeerCallListener;
+import org.wasabicart.node.peer.PeerTransport;
+import org.wasabicart.store.StoreClient;
+import org.wasabicart.wire.generated.link.ControlRequest;
+import org.wasabicart.wire.generated.link.ControlResponse;
+
+/**
+ * Distribution of the configuration on one node of a fleet.
+ */
+final class ConfiguredNode implements FleetExtension, PeerTransport {
+
+	/** Headers, frame and a share of the connection's handshake. */
+	private static final int BYTES_PER_PULL = 600;
+
+	private final ConfigurationFleet fleet;
+
+	private final FleetNode node;
+
+	private final ConfigurationDistribution distribution;
+
+	private List<Member> members = List.of();
+
+	private long copiedVersion = -1;
+
+	private long lastAdopted;
+
+	ConfiguredNode(ConfigurationFleet fleet, FleetNode node, StoreClient store) {
+		this.fleet = fleet;
+		this.node = node;
+		this.distribution = new ConfigurationDistribution(node.local, Optional.of(store), this, this::adopt,
+				node.controller::contacts, fleet.nodes().time(), fleet.nodes().random().split(), this::execute);
+	}
+
+	private void execute(Runnable task) {
+		if (this.node.running) {
+			task.run();
+		}
+	}
+
+	private boolean adopt(Revision revision, byte[] json) {
+		if (!this.fleet.isValid(revision, json)) {
+			return false;
+		}
+		if (revision.value() <= this.lastAdopted) {
+			this.fleet.reverted();
+		}
+		this.lastAdopted = revision.value();
+		Member local = this.node.local;
+		this.node.controller.announce(new Member(local.id(), local.instance(), local.service(), local.failureDomain(),
+				local.region(), local.address(), local.state(), local.slots(), revision));
+		return true;
+	}
+
+	long revision() {
+		return this.lastAdopted;
+	}
+
+	@Override
+	public void tick() {
+		if (this.copiedVersion != this.node.controller.recordVersion()) {
+			this.copiedVersion = this.node.controller.recordVersion();
+			this.members = List.copyOf(this.node.controller.members());
+		}
+		this.distribution.tick(this.members);
+	}
+
+	@Override
+	public void received(PeerMessage message) {
+		Revision revision = message.sender().revision();
+		if (revision.value() > this.lastAdopted) {
+			this.distribution.newerRevisionSeen(message.sender().address(), revision);
+		}
+	}
+
+	@Override
+	public CompletableFuture<ControlResponse> ask(NodeAddress address, ControlRequest request, Duration timeout) {
+		CompletableFuture<ControlResponse> future = new CompletableFuture<>();
+		MembershipFleet nodes = this.fleet.nodes();
+		VirtualTime time = nodes.time();
+		long now = time.nanoseconds();
+		time.schedule(now + timeout.toNanos(), () -> future.completeExceptionally(new IOException("Timed out")));
+		FleetNode peer = nodes.at(address);
+		if (peer == null || nodes.conditions().isCut(this.node.index, peer.index)
+				|| nodes.conditions().isCut(peer.index, this.node.index)) {
+			return future;
+		}
+		time.schedule(now + nodes.delay(this.node.index, peer.index), () -> answer(peer, request, future));
+		return future;
+	}
+
+	private void answer(FleetNode peer, ControlRequest request, CompletableFuture<ControlResponse> future) {
+		if (!peer.running || peer.paused) {
+			return;
+		}
+		MembershipFleet nodes = this.fleet.nodes();
+		ControlResponse response = ((ConfiguredNode) peer.extension).distribution.answer(request);
+		this.fleet.pulled(BYTES_PER_PULL + response.getSerializedSize(),
+				nodes.layout().regionOf(peer.index) != nodes.layout().regionOf(this.node.index));
+		nodes.time()
+			.schedule(nodes.time().nanoseconds() + nodes.delay(peer.index, this.node.index),
+					() -> future.complete(response));
+	}
+
+	@Override
+	public PeerCall send(NodeAddress address, CallRequest request, PeerCallListener listener) {
+		throw new UnsupportedOperationException("The experiment sends no calls");
+	}
+
+}
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/FleetLayout.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/FleetLayout.java
@@ -52,7 +52,7 @@
 		return new Member(new NodeId(id), new InstanceNumber(instance),
 				new ServiceName("service-" + (node % this.services)),
 				new FailureDomain("failure-domain-" + failureDomainOf(node)),
-				new RegionName("region-" + regionOf(node)), addressOf(node), state, SLOTS, new Revision(1));
+				new RegionName("region-" + regionOf(node)), addressOf(node), state, SLOTS, new Revision(0));
 	}
 
 }
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/FleetNode.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/FleetNode.java
@@ -26,6 +26,10 @@
 
 	final Queue<byte[]> socketBuffer = new ArrayDeque<>();
 
+	FleetExtension extension = FleetExtension.NONE;
+
+	final long startedAt;
+
 	boolean running = true;
 
 	boolean paused;
@@ -34,7 +38,8 @@
 
 	private Set<NodeId> seenIds = new HashSet<>();
 
-	FleetNode(int index, Member local, MembershipController controller, MembershipCodec codec) {
+	FleetNode(int index, Member local, MembershipController controller, MembershipCodec codec, long startedAt) {
+		this.startedAt = startedAt;
 		this.index = index;
 		this.local = local;
 		this.controller = controller;
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/MembershipExperiment.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/MembershipExperiment.java
@@ -1,193 +1,39 @@
 package org.wasabicart.experiment.membership;
 
-import java.lang.management.ManagementFactory;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.List;
-import java.util.concurrent.TimeUnit;
-
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import joptsimple.OptionParser;
-import joptsimple.OptionSet;
-import joptsimple.OptionSpec;
 
-import org.wasabicart.core.membership.MembershipSettings;
-import org.wasabicart.core.model.NodeId;
+import org.wasabicart.experiment.Experiment;
+import org.wasabicart.experiment.ExperimentArguments;
 
 /**
  * Measures detection and dissemination of crashes, false removals and the cost of
  * membership at one size of the fleet.
  */
-public final class MembershipExperiment {
-
-	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
-
-	private static final long CONVERGENCE_LIMIT = 120 * SECOND;
-
-	private static final int QUIET_SECONDS = 30;
-
-	/** A crashed node is observed for this long and then restarts. */
-	private static final int OBSERVATION_SECONDS = 15;
-
-	/** At most one in this many nodes is down at a time. */
-	private static final int NODES_PER_CRASHED_NODE = 20;
-
-	private final MembershipFleet fleet;
-
-	private final int crashes;
-
-	private final int crashInterval;
-
-	private final List<Double> spreadSeconds = new ArrayList<>();
-
-	private int incomplete;
-
-	private MembershipExperiment(int nodes, double loss, int crashes, long seed) {
-		this.fleet = new MembershipFleet(FleetLayout.planned(nodes), MembershipSettings.defaults(), seed);
-		this.fleet.conditions().loss(loss);
-		this.crashes = crashes;
-		this.crashInterval = Math.max(1, OBSERVATION_SECONDS * NODES_PER_CRASHED_NODE / nodes);
-	}
-
-	/**
-	 * Runs the experiment.
-	 * @param arguments {@code --nodes N [--loss P] [--crashes N] [--seed N]}
-	 * @return report
-	 */
-	public static JsonNode run(String[] arguments) {
-		OptionParser parser = new OptionParser();
-		OptionSpec<Integer> nodes = parser.accepts("nodes").withRequiredArg().ofType(Integer.class).defaultsTo(80);
-		OptionSpec<Double> loss = parser.accepts("loss").withRequiredArg().ofType(Double.class).defaultsTo(0.0);
-		OptionSpec<Integer> crashes = parser.accepts("crashes").withRequiredArg().ofType(Integer.class).defaultsTo(120);
-		OptionSpec<Long> seed = parser.accepts("seed").withRequiredArg().ofType(Long.class).defaultsTo(1L);
-		OptionSet options = parser.parse(arguments);
-		return new MembershipExperiment(options.valueOf(nodes), options.valueOf(loss), options.valueOf(crashes),
-				options.valueOf(seed))
-			.measure();
-	}
+public final class MembershipExperiment implements Experiment {
 
-	/**
-	 * Prints the report.
-	 * @param arguments as for {@link #run(String[])}
-	 */
-	public static void main(String[] arguments) {
-		System.out.println(run(arguments).toPrettyString());
+	@Override
+	public String name() {
+		return "membership";
 	}
 
-	private JsonNode measure() {
-		int nodes = this.fleet.layout().nodes();
-		long heapBefore = usedHeap();
-		this.fleet.startAll(10 * SECOND);
-		this.fleet.time().runUntil(10 * SECOND);
-		long joined = this.fleet.awaitConvergence(CONVERGENCE_LIMIT);
-		this.fleet.time().runUntil(this.fleet.time().nanoseconds() + 10 * SECOND);
-		long stateBytes = Math.max(0, usedHeap() - heapBefore) / nodes;
-		this.fleet.record();
-		Cost quiet = cost(() -> this.fleet.time().runUntil(this.fleet.time().nanoseconds() + QUIET_SECONDS * SECOND));
-		int churnSeconds = this.crashes * this.crashInterval;
-		Cost churn = cost(() -> crashAndRestart(churnSeconds));
-		this.fleet.time().runUntil(this.fleet.time().nanoseconds() + OBSERVATION_SECONDS * SECOND);
-		long healed = this.fleet.awaitConvergence(CONVERGENCE_LIMIT);
-		ObjectNode report = JsonNodeFactory.instance.objectNode();
-		report.put("nodes", nodes);
-		report.put("loss", this.fleet.conditions().loss());
-		report.put("joinSeconds", seconds(joined));
-		report.put("crashes", this.spreadSeconds.size());
-		report.put("crashesNotSeenByAll", this.incomplete);
-		report.put("detectAndSpreadMedianSeconds", quantile(0.5));
-		report.put("detectAndSpreadP99Seconds", quantile(0.99));
-		report.put("detectAndSpreadMaximumSeconds", quantile(1));
-		report.put("falseRemovals", this.fleet.recorder().falseRemovals());
-		report.put("nodeSeconds", (long) nodes * (QUIET_SECONDS + churnSeconds));
-		report.put("bytesPerSecondPerNode", quiet.perNodeSecond(2.0 * quiet.bytes, nodes, QUIET_SECONDS));
-		report.put("sentBytesPerSecondPerNode", quiet.perNodeSecond(quiet.bytes, nodes, QUIET_SECONDS));
-		report.put("messagesPerSecondPerNode", quiet.perNodeSecond(quiet.messages, nodes, QUIET_SECONDS));
-		report.put("coreSharePerNode", quiet.perNodeSecond(quiet.cpuNanoseconds, nodes, QUIET_SECONDS) / SECOND);
-		report.put("crossRegionBytesPerSecond", (double) quiet.crossRegionBytes / QUIET_SECONDS);
-		double quietBytes = (double) quiet.bytes * churnSeconds / QUIET_SECONDS;
-		report.put("sentBytesPerReplacementPerNode", (churn.bytes - quietBytes) / this.crashes / nodes);
-		report.put("churnSentBytesPerSecondPerNode", churn.perNodeSecond(churn.bytes, nodes, churnSeconds));
-		report.put("churnCoreSharePerNode", churn.perNodeSecond(churn.cpuNanoseconds, nodes, churnSeconds) / SECOND);
-		report.put("stateBytesPerNode", stateBytes);
-		report.put("largestDatagramBytes", this.fleet.largestDatagram());
-		report.put("convergedAfterwardsSeconds", seconds(healed));
-		return report;
+	@Override
+	public String description() {
+		return "time until all nodes know of a crash, false removals, and cost of membership";
 	}
 
-	private void crashAndRestart(int seconds) {
-		for (int second = 0; second < seconds; second += this.crashInterval) {
-			List<FleetNode> running = this.fleet.running();
-			FleetNode victim = running.get(this.fleet.random().nextInt(running.size()));
-			long now = this.fleet.time().nanoseconds();
-			this.fleet.recorder().crashed(victim.id(), now);
-			this.fleet.crash(victim);
-			this.fleet.time().schedule(now + OBSERVATION_SECONDS * SECOND, () -> finish(victim));
-			this.fleet.time().runUntil(now + this.crashInterval * SECOND);
-		}
+	@Override
+	public void declareFlags(OptionParser parser) {
+		parser.accepts("nodes", "Number of nodes").withRequiredArg().defaultsTo("80");
+		parser.accepts("loss", "Share of lost datagrams").withRequiredArg().defaultsTo("0");
+		parser.accepts("crashes", "Number of crashes").withRequiredArg().defaultsTo("120");
 	}
 
-	// Nodes that crashed or restarted meanwhile do not remove the victim themselves.
-	private void finish(FleetNode victim) {
-		NodeId id = victim.id();
-		boolean seenByAll = this.fleet.running().stream().noneMatch((node) -> node.sees(id));
-		if (seenByAll) {
-			this.spreadSeconds.add(seconds(this.fleet.recorder().spreadNanoseconds(id)));
-		}
-		else {
-			this.incomplete++;
-		}
-		this.fleet.recorder().restarted(id);
-		this.fleet.start(victim.index, id.value(), victim.local.instance().value() + 1);
-	}
-
-	private Cost cost(Runnable action) {
-		Cost before = snapshot();
-		action.run();
-		Cost after = snapshot();
-		return new Cost(after.bytes - before.bytes, after.messages - before.messages,
-				after.crossRegionBytes - before.crossRegionBytes, after.cpuNanoseconds - before.cpuNanoseconds);
-	}
-
-	private Cost snapshot() {
-		return new Cost(this.fleet.sentBytes(), this.fleet.sentMessages(), this.fleet.crossRegionBytes(),
-				ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime());
-	}
-
-	private double quantile(double share) {
-		if (this.spreadSeconds.isEmpty()) {
-			return -1;
-		}
-		List<Double> sorted = new ArrayList<>(this.spreadSeconds);
-		Collections.sort(sorted);
-		return sorted.get((int) Math.ceil(share * sorted.size()) - 1);
-	}
-
-	private static double seconds(long nanoseconds) {
-		return (double) nanoseconds / SECOND;
-	}
-
-	private static long usedHeap() {
-		System.gc();
-		Runtime runtime = Runtime.getRuntime();
-		return runtime.totalMemory() - runtime.freeMemory();
-	}
-
-	/**
-	 * Cost of an interval for the whole fleet.
-	 *
-	 * @param bytes bytes sent, with headers
-	 * @param messages messages sent
-	 * @param crossRegionBytes bytes sent to another region
-	 * @param cpuNanoseconds processor time, that of the in-process transport included
-	 */
-	private record Cost(long bytes, long messages, long crossRegionBytes, long cpuNanoseconds) {
-
-		double perNodeSecond(double total, int nodes, int seconds) {
-			return total / nodes / seconds;
-		}
-
+	@Override
+	public JsonNode run(ExperimentArguments arguments) {
+		return new MembershipMeasurement((int) arguments.number("nodes"), arguments.decimal("loss"),
+				(int) arguments.number("crashes"), arguments.seed())
+			.measure();
 	}
 
 }
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/MembershipFleet.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/MembershipFleet.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import org.wasabicart.core.membership.MembershipController;
 import org.wasabicart.core.membership.MembershipSettings;
@@ -62,12 +63,22 @@
 
 	private boolean recording;
 
+	private Function<FleetNode, FleetExtension> extensions = (node) -> FleetExtension.NONE;
+
 	MembershipFleet(FleetLayout layout, MembershipSettings settings, long seed) {
 		this.layout = layout;
 		this.settings = settings;
 		this.random = new SplittableRandom(seed);
 	}
 
+	void extend(Function<FleetNode, FleetExtension> factory) {
+		this.extensions = factory;
+	}
+
+	FleetNode at(NodeAddress address) {
+		return this.byAddress.get(address);
+	}
+
 	/**
 	 * Starts all nodes, spread over some time.
 	 * @param spread time within which they start
@@ -91,7 +102,9 @@
 		}
 		MembershipController controller = new MembershipController(this.settings, local, seeds, this.time,
 				this.random.split());
-		FleetNode node = new FleetNode(index, local, controller, new MembershipCodec(Optional.of(KEY)));
+		FleetNode node = new FleetNode(index, local, controller, new MembershipCodec(Optional.of(KEY)),
+				this.time.nanoseconds());
+		node.extension = this.extensions.apply(node);
 		this.nodes.set(index, node);
 		this.byAddress.put(local.address(), node);
 		scheduleTick(node, this.time.nanoseconds() + this.random.nextLong(TICK));
@@ -133,6 +146,7 @@
 			return;
 		}
 		send(node, node.controller.tick());
+		node.extension.tick();
 		observe(node);
 		scheduleTick(node, this.time.nanoseconds() + TICK);
 	}
@@ -160,7 +174,7 @@
 		this.time.schedule(this.time.nanoseconds() + delay(from.index, to.index), () -> arrive(to, datagram));
 	}
 
-	private long delay(int from, int to) {
+	long delay(int from, int to) {
 		long jitter = this.random.nextLong(TimeUnit.MICROSECONDS.toNanos(300));
 		if (this.layout.regionOf(from) != this.layout.regionOf(to)) {
 			return TimeUnit.MILLISECONDS.toNanos(12) + jitter;
@@ -186,6 +200,7 @@
 		Optional<PeerMessage> message = node.codec.decode(datagram);
 		if (message.isPresent()) {
 			send(node, node.controller.received(message.get()));
+			node.extension.received(message.get());
 			observe(node);
 		}
 	}
--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/PublishingOwners.java
@@ -0,0 +1,182 @@
+package org.wasabicart.experiment.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.wasabicart.configuration.ConfigurationBuilder;
+import org.wasabicart.configuration.ConfigurationDocument;
+import org.wasabicart.configuration.ConfigurationException;
+import org.wasabicart.configuration.ConfigurationFormat;
+import org.wasabicart.core.model.Revision;
+import org.wasabicart.store.ChangeId;
+import org.wasabicart.store.ConfigurationPublisher;
+import org.wasabicart.store.PublishResult;
+import org.wasabicart.store.StoredValue;
+
+/**
+ * The two owners, who publish changes of their own sections, and the check that no
+ * accepted change was lost.
+ */
+final class PublishingOwners {
+
+	private static final int SERVICES = 67;
+
+	private static final int KINDS = 40;
+
+	private final VirtualStore store;
+
+	private final ConfigurationFormat format = new ConfigurationFormat();
+
+	private final List<Accepted> accepted = new ArrayList<>();
+
+	private int changes;
+
+	private int unknown;
+
+	private int notWritten;
+
+	PublishingOwners(VirtualStore store) {
+		this.store = store;
+	}
+
+	/**
+	 * Publishes both sections, since neither is valid alone.
+	 * @throws IllegalStateException if they are not accepted
+	 */
+	void publishFirst() {
+		ConfigurationDocument document = product(0).merge(operations(0));
+		try {
+			PublishResult result = new ConfigurationPublisher(new VirtualStoreClient(this.store, true))
+				.publish(document, Optional.empty(), new ChangeId("change-0"));
+			if (!(result instanceof PublishResult.Accepted)) {
+				throw new IllegalStateException("First configuration: " + result);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * Publishes a change of one section, and possibly of the other at the same moment.
+	 * @param product whether the product manager publishes
+	 * @param concurrent whether the other owner writes between read and write
+	 */
+	void publish(boolean product, boolean concurrent) {
+		VirtualStoreClient client = new VirtualStoreClient(this.store, true);
+		if (concurrent) {
+			client.beforeNextSwap(() -> publish(!product, false));
+		}
+		this.changes++;
+		int number = this.changes;
+		ConfigurationDocument document = product ? product(number) : operations(number);
+		try {
+			PublishResult result = new ConfigurationPublisher(client).publish(document, Optional.empty(),
+					new ChangeId("change-" + number));
+			record(product, number, result);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void record(boolean product, int number, PublishResult result) {
+		if (result instanceof PublishResult.Accepted done) {
+			this.accepted.add(new Accepted(product, number, done.revision(), this.store.time().nanoseconds()));
+		}
+		else if (result instanceof PublishResult.Unknown) {
+			this.unknown++;
+		}
+		else {
+			this.notWritten++;
+		}
+	}
+
+	private static ConfigurationDocument product(int number) {
+		return new ConfigurationBuilder().product("product-manager", (product) -> {
+			for (int kind = 0; kind < KINDS; kind++) {
+				int index = kind;
+				product.kind("kind-" + kind,
+						(builder) -> builder.importance((index + number) % 100)
+							.credit(1 + number)
+							.entryService("service-" + index)
+							.pathPrefix("/path-" + index));
+			}
+			product.tenant("default", 1);
+		}).build();
+	}
+
+	private static ConfigurationDocument operations(int number) {
+		return new ConfigurationBuilder().operations("operations-lead", (operations) -> {
+			for (int service = 0; service < SERVICES; service++) {
+				int slots = 100 + service;
+				operations.service("service-" + service,
+						(builder) -> builder.slots(slots)
+							.ceiling(1000 + number)
+							.connections(1000 + number)
+							.attemptDeadline(Duration.ofMillis(500)));
+			}
+			operations.defaultLimit(Duration.ofSeconds(2), 2).maximumRetryAllowance(3);
+			operations.failureDomain("failure-domain-0", "region-0");
+		}).build();
+	}
+
+	/**
+	 * Counts accepted changes that a later revision no longer holds, although their owner
+	 * has not changed the section again.
+	 * @return lost changes
+	 * @throws ConfigurationException if the store holds no valid document
+	 */
+	long lostAccepted() throws ConfigurationException {
+		List<StoredValue> history = this.store.historyOf(ConfigurationPublisher.KEY);
+		long lost = 0;
+		for (Accepted change : this.accepted) {
+			boolean found = false;
+			for (StoredValue value : history) {
+				ConfigurationDocument document = this.format.parse("store", value.value());
+				int stored = markerOf(document, change.product());
+				if (value.revision().compareTo(change.revision()) >= 0 && stored >= change.number()) {
+					found = true;
+				}
+				else if (found && stored < change.number()) {
+					lost++;
+				}
+			}
+			lost += found ? 0 : 1;
+		}
+		return lost;
+	}
+
+	private static int markerOf(ConfigurationDocument document, boolean product) {
+		if (product) {
+			return document.product().map((section) -> (int) section.kinds().get(0).credit() - 1).orElse(0);
+		}
+		return document.operations().map((section) -> section.services().get(0).ceiling() - 1000).orElse(0);
+	}
+
+	List<Accepted> accepted() {
+		return this.accepted;
+	}
+
+	int unknown() {
+		return this.unknown;
+	}
+
+	int notWritten() {
+		return this.notWritten;
+	}
+
+	/**
+	 * Change that a publisher reported as accepted.
+	 *
+	 * @param product whether the product section was changed
+	 * @param number number of the change, which the section's content carries
+	 * @param revision revision
+	 * @param time time of the acceptance
+	 */
+	record Accepted(boolean product, int number, Revision revision, long time) {
+	}
+
+}
