--- /dev/null
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/membership/ContactLeaseTests.java
@@ -0,0 +1,79 @@
+package org.wasabicart.core.membership;
+
+import java.time.Duration;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against use of a lease that ended during a pause, and against a rush of calls
+ * when the store fails.
+ */
+class ContactLeaseTests {
+
+	private long now;
+
+	private final ContactLease lease = new ContactLease(() -> this.now, new SplittableRandom(1));
+
+	@Test
+	void entryIsWrittenKeptAliveAndRevoked() {
+		hold();
+		advance(Duration.ofSeconds(10));
+		assertThat(this.lease.next(true)).isEqualTo(ContactLease.Call.KEEP_ALIVE);
+		this.lease.succeeded(ContactLease.Call.KEEP_ALIVE);
+		advance(Duration.ofSeconds(10));
+		assertThat(this.lease.next(false)).isEqualTo(ContactLease.Call.REVOKE);
+	}
+
+	@Test
+	void pauseLongerThanTheLeaseEndsItBeforeUse() {
+		hold();
+		advance(ContactLease.TIME_TO_LIVE);
+		assertThat(this.lease.isHeld()).isFalse();
+		assertThat(this.lease.next(true)).isEqualTo(ContactLease.Call.GRANT);
+	}
+
+	@Test
+	void leaseCountsFromTheTimeOfTheRequest() {
+		assertThat(this.lease.next(true)).isEqualTo(ContactLease.Call.GRANT);
+		advance(ContactLease.TIME_TO_LIVE);
+		this.lease.succeeded(ContactLease.Call.GRANT);
+		assertThat(this.lease.next(true)).isEqualTo(ContactLease.Call.GRANT);
+	}
+
+	@Test
+	void storeOutageCostsFewCalls() {
+		int calls = 0;
+		for (int second = 0; second < 3_600; second++) {
+			if (this.lease.next(true) != ContactLease.Call.NONE) {
+				calls++;
+				this.lease.failed();
+			}
+			advance(Duration.ofSeconds(1));
+		}
+		// Full jitter below a ceiling of 15 s waits 7.5 s on average.
+		assertThat(calls).isLessThan(3_600 / 4);
+	}
+
+	@Test
+	void onlyOneCallIsInFlight() {
+		assertThat(this.lease.next(true)).isEqualTo(ContactLease.Call.GRANT);
+		advance(Duration.ofSeconds(5));
+		assertThat(this.lease.next(true)).isEqualTo(ContactLease.Call.NONE);
+	}
+
+	private void hold() {
+		assertThat(this.lease.next(true)).isEqualTo(ContactLease.Call.GRANT);
+		this.lease.succeeded(ContactLease.Call.GRANT);
+		assertThat(this.lease.next(true)).isEqualTo(ContactLease.Call.WRITE);
+		this.lease.succeeded(ContactLease.Call.WRITE);
+		assertThat(this.lease.isHeld()).isTrue();
+	}
+
+	private void advance(Duration duration) {
+		this.now += duration.toNanos();
+	}
+
+}
--- /dev/null
+++ b/wasabicart-experiment/src/test/java/org/wasabicart/experiment/membership/FleetProperties.java
@@ -0,0 +1,116 @@
+package org.wasabicart.experiment.membership;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import net.jqwik.api.constraints.Size;
+
+import org.wasabicart.core.membership.ContactChoice;
+import org.wasabicart.core.model.FailureDomain;
+import org.wasabicart.core.model.Member;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against revisions that fall, accepted changes that are lost, views that stay
+ * different and relays that nodes disagree on, over random schedules of faults.
+ */
+class FleetProperties {
+
+	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+	private static final int NODES = 12;
+
+	private static final int FAULTS = 7;
+
+	@Property(tries = 25)
+	void fleetRecoversFromAnyScheduleOfFaults(@ForAll @LongRange(max = 1_000_000) long seed,
+			@ForAll @Size(min = 5, max = 20) List<@IntRange(max = FAULTS - 1) Integer> faults) throws Exception {
+		ConfigurationFleet fleet = new ConfigurationFleet(new FleetLayout(NODES, 3, 2, 2), seed);
+		PublishingOwners owners = new PublishingOwners(fleet.store());
+		owners.publishFirst();
+		fleet.nodes().startAll(SECOND);
+		advance(fleet, 20);
+		fleet.store().faults(0.2, 0.2);
+		for (int fault : faults) {
+			inject(fleet, owners, fault);
+			advance(fleet, 1 + fleet.nodes().random().nextInt(5));
+		}
+		fleet.nodes().conditions().heal();
+		fleet.nodes().conditions().loss(0);
+		fleet.store().recover();
+		fleet.store().faults(0, 0);
+		assertThat(fleet.nodes().awaitConvergence(120 * SECOND)).as("time to equal views").isNotNegative();
+		advance(fleet, 60);
+		assertThat(fleet.revertedCount()).isZero();
+		assertThat(owners.lostAccepted()).isZero();
+		assertThat(fleet.lowestRevision(Long.MAX_VALUE)).isEqualTo(highestRevision(fleet));
+		assertRelaysAgree(fleet.nodes());
+	}
+
+	private static void inject(ConfigurationFleet fleet, PublishingOwners owners, int fault) {
+		MembershipFleet nodes = fleet.nodes();
+		List<FleetNode> running = nodes.running();
+		FleetNode victim = running.get(nodes.random().nextInt(running.size()));
+		switch (fault) {
+			case 0 -> owners.publish(nodes.random().nextBoolean(), nodes.random().nextBoolean());
+			case 1 -> restart(nodes, victim);
+			case 2 -> nodes.pause(victim, (1 + nodes.random().nextInt(6)) * SECOND);
+			case 3 -> nodes.conditions().cut((from, to) -> from % 3 == 0 && to % 3 != 0);
+			case 4 -> nodes.conditions().cut((from, to) -> from % 2 != to % 2);
+			case 5 -> nodes.conditions().loss(0.2);
+			default -> toggleStore(fleet.store());
+		}
+	}
+
+	private static void toggleStore(VirtualStore store) {
+		if (store.isDown()) {
+			store.recover();
+		}
+		else {
+			store.outage();
+		}
+	}
+
+	private static void restart(MembershipFleet nodes, FleetNode victim) {
+		nodes.crash(victim);
+		nodes.start(victim.index, victim.id().value(), victim.local.instance().value() + 1);
+	}
+
+	private static void advance(ConfigurationFleet fleet, long seconds) {
+		VirtualTime time = fleet.nodes().time();
+		time.runUntil(time.nanoseconds() + seconds * SECOND);
+	}
+
+	private static long highestRevision(ConfigurationFleet fleet) {
+		return fleet.nodes()
+			.running()
+			.stream()
+			.mapToLong((node) -> ((ConfiguredNode) node.extension).revision())
+			.max()
+			.orElseThrow();
+	}
+
+	private static void assertRelaysAgree(MembershipFleet nodes) {
+		for (int domain = 0; domain < nodes.layout().failureDomains(); domain++) {
+			Set<Set<String>> choices = new HashSet<>();
+			for (FleetNode node : nodes.running()) {
+				Set<String> chosen = new HashSet<>();
+				for (Member member : ContactChoice.choose(node.controller.members(),
+						new FailureDomain("failure-domain-" + domain))) {
+					chosen.add(member.id().value());
+				}
+				choices.add(chosen);
+			}
+			assertThat(choices).hasSize(1);
+			assertThat(choices.iterator().next()).hasSize(ContactChoice.CONTACTS_PER_FAILURE_DOMAIN);
+		}
+	}
+
+}
