Leave repeated orders to the order handling at deadline and drain

An entry node that refused an expired or draining repetition of a ticket as not run would be wrong if the ticket's order already ran. Orders now pass the deadline filter and, with a ticket or key, the draining check; order handling stands before early refusal and routing. The scheduler is a part of the node, so that order handling can use it.

The tests of the request path pass.

--- a/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
@@ -68,7 +68,7 @@
 
 	private final PeerTransportSlot transport = new PeerTransportSlot();
 
-	private final ExecutorTaskScheduler scheduler = new ExecutorTaskScheduler();
+	private final ExecutorTaskScheduler scheduler;
 
 	private final NodeMetrics metrics = new NodeMetrics();
 
@@ -98,6 +98,7 @@
 	 */
 	public Node(NodeParts parts) {
 		this.parts = Objects.requireNonNull(parts, "parts");
+		this.scheduler = parts.scheduler();
 		this.health = new NodeHealth(parts);
 		Config configuration = ConfigFactory.parseResources(Node.class, "node.conf").withFallback(ConfigFactory.load());
 		this.system = ActorSystem.create("node", configuration);
@@ -132,8 +133,8 @@
 		List<RequestFilter> filters = new ArrayList<>();
 		filters.add(new ObservationFilter(this.parts.ticker(), this.metrics, false));
 		filters.add(new DeadlineFilter(this.parts.ticker(), this.scheduler));
-		filters.add(new EarlyRefusalFilter(this.parts.decisions().earlyRefusal(), this.thresholds));
 		filters.addAll(this.parts.entryFilters());
+		filters.add(new EarlyRefusalFilter(this.parts.decisions().earlyRefusal(), this.thresholds));
 		return RequestFilter.chain(filters, last);
 	}
 
--- a/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
@@ -28,6 +28,7 @@
 import org.wasabicart.node.link.LinkLimits;
 import org.wasabicart.node.link.LinkTransport;
 import org.wasabicart.node.peer.ControlHandler;
+import org.wasabicart.node.request.ExecutorTaskScheduler;
 import org.wasabicart.node.request.LocalAdmission;
 import org.wasabicart.node.settings.NodeSettings;
 import org.wasabicart.wire.generated.link.ControlResponse;
@@ -65,8 +66,9 @@
 		byte[] sharedKey = Files.readAllBytes(this.settings.sharedKeyFile());
 		// A later run of the node has a higher number, as far as the VM's clock allows.
 		InstanceNumber instance = new InstanceNumber(System.currentTimeMillis());
-		NodeParts parts = new NodeParts(this.settings, instance, this.ticker, this.random, this.configuration,
-				new LocalServerHolder(this.ticker), decisions(), this::members, List.of(), List.of());
+		NodeParts parts = new NodeParts(this.settings, instance, this.ticker, new ExecutorTaskScheduler(), this.random,
+				this.configuration, new LocalServerHolder(this.ticker), decisions(), this::members, List.of(),
+				List.of());
 		Node node = new Node(parts);
 		LinkTransport links = links(instance, sharedKey);
 		node.connect(links);
--- a/wasabicart-node/src/main/java/org/wasabicart/node/NodeParts.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/NodeParts.java
@@ -8,6 +8,7 @@
 import org.wasabicart.core.Ticker;
 import org.wasabicart.core.model.InstanceNumber;
 import org.wasabicart.core.model.Member;
+import org.wasabicart.node.request.ExecutorTaskScheduler;
 import org.wasabicart.node.request.RequestFilter;
 import org.wasabicart.node.settings.NodeSettings;
 
@@ -17,18 +18,19 @@
  * @param settings checked settings
  * @param instance number of this run of the process
  * @param ticker monotonic clock
+ * @param scheduler runs deadlines and backoff; closed with the node
  * @param random random source for jitter and choices
  * @param configuration configuration in force
  * @param localServer announced backend server
  * @param decisions decision objects
  * @param members all known members, for status and metrics
- * @param entryFilters filters on the entry side before routing, such as the home node's
- * order handling
+ * @param entryFilters filters on the entry side before early refusal and routing, such as
+ * the home node's order handling
  * @param servingFilters filters on the serving side before admission, such as the serving
  * node's ticket table
  */
-public record NodeParts(NodeSettings settings, InstanceNumber instance, Ticker ticker, RandomGenerator random,
-		ConfigurationHolder configuration, LocalServerHolder localServer, Decisions decisions,
+public record NodeParts(NodeSettings settings, InstanceNumber instance, Ticker ticker, ExecutorTaskScheduler scheduler,
+		RandomGenerator random, ConfigurationHolder configuration, LocalServerHolder localServer, Decisions decisions,
 		Supplier<Collection<Member>> members, List<RequestFilter> entryFilters, List<RequestFilter> servingFilters) {
 
 	public NodeParts {
@@ -43,7 +45,7 @@
 	 * @return the parts
 	 */
 	public NodeParts withFilters(List<RequestFilter> entry, List<RequestFilter> serving) {
-		return new NodeParts(this.settings, this.instance, this.ticker, this.random, this.configuration,
+		return new NodeParts(this.settings, this.instance, this.ticker, this.scheduler, this.random, this.configuration,
 				this.localServer, this.decisions, this.members, entry, serving);
 	}
 
--- a/wasabicart-node/src/main/java/org/wasabicart/node/http/CallerApi.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/http/CallerApi.java
@@ -64,7 +64,7 @@
 			request.discardEntityBytes(this.materializer);
 			return own.get();
 		}
-		if (this.state.draining()) {
+		if (this.state.draining() && !mayHaveRunBefore(request)) {
 			return discard(request, this.writer.refusal(503, RefusalReason.DRAINING, RETRY_AFTER)
 				.addHeader(Connection.create("close")));
 		}
@@ -78,6 +78,12 @@
 		}
 	}
 
+	// A repeated order is left to the order handling, which knows whether it ran.
+	private static boolean mayHaveRunBefore(HttpRequest request) {
+		return request.getHeader(HeaderNames.TICKET).isPresent()
+				|| request.getHeader(HeaderNames.IDEMPOTENCY_KEY).isPresent();
+	}
+
 	private CompletionStage<HttpResponse> discard(HttpRequest request, HttpResponse response) {
 		request.discardEntityBytes(this.materializer);
 		return CompletableFuture.completedFuture(response);
--- a/wasabicart-node/src/main/java/org/wasabicart/node/request/DeadlineFilter.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/DeadlineFilter.java
@@ -44,13 +44,15 @@
 	@Override
 	public PeerCall handle(CallRequest request, PeerCallListener listener, CallHandler next) {
 		long remaining = request.context().remainingNanoseconds(this.ticker.nanoseconds());
-		if (remaining <= 0) {
+		boolean order = request.context().execution() == Execution.ORDER;
+		// An expired order goes on: its ticket may belong to an order that already ran,
+		// and the routing refuses it truthfully otherwise.
+		if (remaining <= 0 && !order) {
 			listener.finished(Outcomes.refused(request, RefusalReason.EXPIRED, Duration.ZERO));
 			return Outcomes.ENDED;
 		}
 		Guard guard = new Guard(request, listener);
-		boolean order = request.context().execution() == Execution.ORDER;
-		long delay = order ? remaining + ORDER_MARGIN_NANOSECONDS : remaining;
+		long delay = order ? Math.max(remaining, 0) + ORDER_MARGIN_NANOSECONDS : remaining;
 		guard.timer = this.scheduler.schedule(delay, guard::expire);
 		guard.call.follow(next.handle(request, guard));
 		return guard.call;
--- a/wasabicart-node/src/test/java/org/wasabicart/node/RunningNode.java
+++ b/wasabicart-node/src/test/java/org/wasabicart/node/RunningNode.java
@@ -41,6 +41,7 @@
 import org.wasabicart.core.routing.RegionLink;
 import org.wasabicart.core.routing.Router;
 import org.wasabicart.core.routing.Routers;
+import org.wasabicart.node.request.ExecutorTaskScheduler;
 import org.wasabicart.node.settings.NodeSettings;
 import org.wasabicart.node.settings.SettingsReader;
 
@@ -86,8 +87,9 @@
 		this.router = Routers.random(this.settings.region(), new RegionLink(System::nanoTime), random);
 		Decisions decisions = new Decisions((policy) -> AdmissionControllers.fixed(policy, System::nanoTime, random),
 				this.router, EarlyRefusals.none(), RetryAllowances::bounded, (service) -> RetryBudgets.unlimited());
-		this.node = new Node(new NodeParts(this.settings, new InstanceNumber(1), System::nanoTime, random,
-				this.configuration, this.localServer, decisions, List::of, List.of(), List.of()));
+		this.node = new Node(
+				new NodeParts(this.settings, new InstanceNumber(1), System::nanoTime, new ExecutorTaskScheduler(),
+						random, this.configuration, this.localServer, decisions, List::of, List.of(), List.of()));
 		this.configuration.adopt(snapshot(slots));
 		this.node.start();
 	}
