--- a/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
@@ -52,6 +52,12 @@
 
 	private static final long ADMISSION_TICK_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(5);
 
+	/**
+	 * Time between ticks while no calls run. Ticks of 5 ms took 1.2% of a core on an idle
+	 * node.
+	 */
+	private static final long IDLE_TICK_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(25);
+
 	private static final long ANNOUNCEMENT_TICK_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(250);
 
 	/**
@@ -212,7 +218,7 @@
 	 * @throws IOException if an address cannot be bound
 	 */
 	public void start() throws IOException {
-		this.scheduler.repeat(ADMISSION_TICK_NANOSECONDS, this.admission::tick);
+		tickAdmission();
 		this.scheduler.repeat(ANNOUNCEMENT_TICK_NANOSECONDS, this.parts.localServer()::tick);
 		this.scheduler.repeat(ANNOUNCEMENT_TICK_NANOSECONDS, this.health::beat);
 		for (NodeService service : this.services) {
@@ -223,6 +229,16 @@
 				this.parts.instance(), this.parts.settings().httpAddress());
 	}
 
+	private void tickAdmission() {
+		try {
+			this.admission.tick();
+		}
+		finally {
+			long interval = (this.exit.running() > 0) ? ADMISSION_TICK_NANOSECONDS : IDLE_TICK_NANOSECONDS;
+			this.scheduler.schedule(interval, this::tickAdmission);
+		}
+	}
+
 	/**
 	 * Stops gracefully: announces draining, refuses new work as not run, and waits until
 	 * the work in progress has ended or the grace time has passed.
