--- a/wasabicart-core/src/main/java/org/wasabicart/core/admission/AdmissionControllers.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/admission/AdmissionControllers.java
@@ -40,6 +40,15 @@
 				new DemandThreshold(ticker.nanoseconds()), new FairQueue(tenantShare), ticker, random);
 	}
 
+	/**
+	 * Creates the threshold control of the adaptive controller by itself.
+	 * @param ticker clock
+	 * @return the control
+	 */
+	public static ThresholdControl demandThreshold(Ticker ticker) {
+		return new DemandThreshold(ticker.nanoseconds());
+	}
+
 	/**
 	 * Creates the baseline with the ceiling as fixed limit and a first-in first-out
 	 * queue.
