Make returned retries visible as soon as duplicates are ignored

Cause: Lincheck found that a duplicate giveBack can return before the first one has added the unspent part, so that a following reserve finds nothing. The bound held; retries could be refused for a moment.

Change: one lock covers the counter and its reservations; the check runs twice as many scenarios.

Conclusion: the allowance is linearizable as far as the check reaches.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/retry/SharedRetryAllowance.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/retry/SharedRetryAllowance.java
@@ -1,24 +1,30 @@
 package org.wasabicart.core.retry;
 
-import java.util.concurrent.atomic.AtomicInteger;
-
 /**
  * Retry allowance in a single counter, from which spending and reservations both take.
+ * One lock covers the counter and its reservations, so that a returned part is available
+ * as soon as any duplicate of the response is ignored.
  */
 final class SharedRetryAllowance implements RetryAllowance {
 
-	private final AtomicInteger available;
+	private final Object lock = new Object();
+
+	private int available;
 
 	SharedRetryAllowance(int size) {
 		if (size < 0) {
 			throw new IllegalArgumentException("Retry allowance is negative: " + size);
 		}
-		this.available = new AtomicInteger(size);
+		this.available = size;
 	}
 
 	@Override
 	public boolean tryToSpend() {
-		return take(1) == 1;
+		synchronized (this.lock) {
+			boolean spent = this.available > 0;
+			this.available -= spent ? 1 : 0;
+			return spent;
+		}
 	}
 
 	@Override
@@ -26,21 +32,17 @@
 		if (wanted < 0) {
 			throw new IllegalArgumentException("Reservation is negative: " + wanted);
 		}
-		return new Part(take(wanted));
+		synchronized (this.lock) {
+			int size = Math.min(this.available, wanted);
+			this.available -= size;
+			return new Part(size);
+		}
 	}
 
 	@Override
 	public int available() {
-		return this.available.get();
-	}
-
-	private int take(int wanted) {
-		while (true) {
-			int current = this.available.get();
-			int taken = Math.min(current, wanted);
-			if (this.available.compareAndSet(current, current - taken)) {
-				return taken;
-			}
+		synchronized (this.lock) {
+			return this.available;
 		}
 	}
 
@@ -48,12 +50,10 @@
 
 		private final int size;
 
-		/** What may still come back; taken once, so that a duplicate returns nothing. */
-		private final AtomicInteger outstanding;
+		private boolean returned;
 
 		private Part(int size) {
 			this.size = size;
-			this.outstanding = new AtomicInteger(size);
 		}
 
 		@Override
@@ -63,10 +63,12 @@
 
 		@Override
 		public void giveBack(int unspent) {
-			int reserved = this.outstanding.getAndSet(0);
-			int returned = Math.max(0, Math.min(unspent, reserved));
-			if (returned > 0) {
-				SharedRetryAllowance.this.available.addAndGet(returned);
+			SharedRetryAllowance allowance = SharedRetryAllowance.this;
+			synchronized (allowance.lock) {
+				if (!this.returned) {
+					this.returned = true;
+					allowance.available += Math.max(0, Math.min(unspent, this.size));
+				}
 			}
 		}
 
--- a/wasabicart-core/src/test/java/org/wasabicart/core/retry/RetryConcurrencyTests.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/retry/RetryConcurrencyTests.java
@@ -12,7 +12,7 @@
 class RetryConcurrencyTests {
 
 	private static void check(Class<?> operations) {
-		new StressOptions().iterations(15).invocationsPerIteration(300).threads(3).actorsPerThread(3).check(operations);
+		new StressOptions().iterations(30).invocationsPerIteration(300).threads(3).actorsPerThread(3).check(operations);
 	}
 
 	@Test
