Warm up deployments before measurements

Cause: in trial runs cold nodes answered few requests before the trigger, so that the level before it was no level to return to. An end could precede its start in the history when a run was cancelled while it started. Change: idempotent requests to all deployments at once before any measured load; recoverySeconds is null without a level before the trigger; the start of a run is recorded before it can end; started processes log from level INFO. Measured: the tests of both modules pass.

--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/demo/DemoExperiment.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/demo/DemoExperiment.java
@@ -21,9 +21,9 @@
 import org.wasabicart.experiment.harness.DeploymentPlan;
 import org.wasabicart.experiment.harness.KindModel;
 import org.wasabicart.experiment.harness.ProcessHarness;
+import org.wasabicart.experiment.harness.WarmUp;
 import org.wasabicart.standin.caller.ArrivalSchedule;
 import org.wasabicart.standin.caller.CallerBehaviour;
-import org.wasabicart.standin.caller.CallerKind;
 import org.wasabicart.standin.caller.LoadGenerator;
 import org.wasabicart.standin.caller.LoadPhase;
 import org.wasabicart.standin.caller.LoadResult;
@@ -38,6 +38,8 @@
 	// Leaves time for the start within the 60 s that a demonstration may take.
 	private static final double MAXIMUM_SECONDS = 45;
 
+	private static final double WARM_UP_SECONDS = 4;
+
 	private static final double SETTLE_SHARE = 0.1;
 
 	private static final double BEFORE_SHARE = 0.2;
@@ -48,7 +50,7 @@
 
 	private static final double SURGE_LOAD = 4;
 
-	private static final double SLOW_FACTOR = 1.5;
+	static final double SLOW_FACTOR = 1.5;
 
 	private static final CallerBehaviour IMPATIENT = new CallerBehaviour(800, 4, 50, true);
 
@@ -84,6 +86,7 @@
 				Deployment deployment = Deployment.start(harness, plan, ControlMode.WASABICART,
 						arguments.addressPrefix())) {
 			deployment.awaitReady();
+			WarmUp.run(List.of(deployment), WARM_UP_SECONDS);
 			output.printf("%d processes are running, and the configuration is published%n", harness.processes().size());
 			return drive(deployment, seconds, arguments.seed(), output);
 		}
@@ -97,15 +100,14 @@
 		List<LoadPhase> phases = List.of(new LoadPhase(surgeStart, BASE_LOAD * plan.capacity()),
 				new LoadPhase(surge.seconds(), SURGE_LOAD * plan.capacity()),
 				new LoadPhase(seconds - surge.toSeconds(), BASE_LOAD * plan.capacity()));
-		List<String> urls = deployment.nodes().stream().map(DeployedNode::httpUrl).toList();
 		ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
-		try (LoadGenerator generator = new LoadGenerator(urls, DeploymentPlan.TENANT, IMPATIENT);
+		try (LoadGenerator generator = new LoadGenerator(deployment.httpUrls(), DeploymentPlan.TENANT, IMPATIENT);
 				LiveGoodput live = new LiveGoodput(plan.kinds().stream().map(KindModel::name).toList(), output)) {
 			live.phase("normal");
 			at(timer, surge.fromSeconds(), () -> begin(deployment, live, output));
 			at(timer, surge.toSeconds(), () -> end(deployment, live, output));
 			live.start();
-			LoadResult result = generator.run(ArrivalSchedule.create(seed, phases, callerKinds(plan)), live);
+			LoadResult result = generator.run(ArrivalSchedule.create(seed, phases, plan.callerKinds()), live);
 			output.println(DemoReport.refusals(result.records()));
 			return new DemoReport(plan, result, new HistoryReader().read(deployment.history())).json(before, surge,
 					seconds);
@@ -141,14 +143,6 @@
 		}, Math.round(seconds * MILLISECONDS_PER_SECOND), TimeUnit.MILLISECONDS);
 	}
 
-	private static List<CallerKind> callerKinds(DeploymentPlan plan) {
-		return plan.kinds()
-			.stream()
-			.map((kind) -> new CallerKind(kind.name(), kind.pathPrefix(), kind.order(), kind.deadlineMilliseconds(),
-					kind.share()))
-			.toList();
-	}
-
 	/**
 	 * Action that may fail.
 	 */
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/demo/DemoReport.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/demo/DemoReport.java
@@ -64,6 +64,7 @@
 		report.set("latencyMilliseconds", latencies());
 		report.put("retriesPerRequest", round(new RunFigures(this.history).amplification() - 1));
 		report.put("capacity", round(this.plan.capacity()));
+		report.put("capacityDuringSurge", round(this.plan.capacity() / DemoExperiment.SLOW_FACTOR));
 		report.set("refusedByImportance", byImportance(surge, true));
 		report.set("goodputByImportance", byImportance(surge, false));
 		return report;
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/figures/CallerFigures.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/figures/CallerFigures.java
@@ -34,6 +34,10 @@
 
 	private static final double RECOVERED_SHARE = 0.95;
 
+	// Below it the system was overloaded before the trigger, and there is no level to
+	// return to.
+	private static final double MINIMUM_SHARE_BEFORE = 0.5;
+
 	private static final double INVERSION_WINDOW_SECONDS = 1;
 
 	private final DeploymentPlan plan;
@@ -162,10 +166,14 @@
 	 * @param before window before the trigger
 	 * @param triggerEnd end of the trigger in seconds
 	 * @param loadEnd end of the load in seconds
-	 * @return the seconds, or empty if the load ended earlier
+	 * @return the seconds, or empty if the load ended earlier or less than half of the
+	 * requests before the trigger were answered
 	 */
 	public OptionalDouble recoverySeconds(TimeWindow before, double triggerEnd, double loadEnd) {
 		double wanted = RECOVERED_SHARE * share(before);
+		if (share(before) < MINIMUM_SHARE_BEFORE) {
+			return OptionalDouble.empty();
+		}
 		double recovered = triggerEnd;
 		double start = triggerEnd;
 		while (start + RECOVERY_WINDOW_SECONDS <= loadEnd) {
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/Deployment.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/Deployment.java
@@ -146,6 +146,14 @@
 		return List.copyOf(this.nodes);
 	}
 
+	/**
+	 * Returns the addresses of all nodes for callers.
+	 * @return the URLs
+	 */
+	public List<String> httpUrls() {
+		return this.nodes.stream().map(DeployedNode::httpUrl).toList();
+	}
+
 	/**
 	 * Returns the nodes of one service.
 	 * @param service service
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/DeploymentPlan.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/DeploymentPlan.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.wasabicart.standin.caller.CallerKind;
+
 /**
  * What a deployment consists of.
  *
@@ -44,6 +46,17 @@
 		return this.kinds.stream().filter((kind) -> kind.name().equals(name)).findFirst().orElseThrow();
 	}
 
+	/**
+	 * Returns the kinds as callers send them.
+	 * @return one for each kind
+	 */
+	public List<CallerKind> callerKinds() {
+		return this.kinds.stream()
+			.map((kind) -> new CallerKind(kind.name(), kind.pathPrefix(), kind.order(), kind.deadlineMilliseconds(),
+					kind.share()))
+			.toList();
+	}
+
 	/**
 	 * Returns the service that bounds the goodput when each request uses each service
 	 * once.
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/ProcessHarness.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/ProcessHarness.java
@@ -18,6 +18,20 @@
 
 	private static final long END_SECONDS = 5;
 
+	// Without it Logback writes the debug lines of all libraries.
+	private static final String LOG_CONFIGURATION = """
+			<configuration>
+				<appender name="CONSOLE" class="ch.qos.logback.core.ConsoleAppender">
+					<encoder>
+						<pattern>%d{HH:mm:ss.SSS} %level %logger{0} %msg%n</pattern>
+					</encoder>
+				</appender>
+				<root level="INFO">
+					<appender-ref ref="CONSOLE"/>
+				</root>
+			</configuration>
+			""";
+
 	private final List<ManagedProcess> processes = Collections.synchronizedList(new ArrayList<>());
 
 	private final Path directory;
@@ -32,6 +46,7 @@
 	 */
 	public ProcessHarness() throws IOException {
 		this.directory = Files.createTempDirectory("wasabicart-experiment");
+		Files.writeString(logConfiguration(), LOG_CONFIGURATION);
 		Runtime.getRuntime().addShutdownHook(this.hook);
 	}
 
@@ -43,6 +58,10 @@
 		return this.directory;
 	}
 
+	private Path logConfiguration() {
+		return this.directory.resolve("logback.xml");
+	}
+
 	/**
 	 * Starts a Java process.
 	 * @param name unique name, also of its log file
@@ -60,6 +79,7 @@
 		List<String> command = new ArrayList<>();
 		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
 		command.addAll(jvmFlags);
+		command.add("-Dlogback.configurationFile=" + logConfiguration());
 		command.add("-cp");
 		command.add(System.getProperty("java.class.path"));
 		command.add(mainClass);
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/overload/OverloadExperiment.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/overload/OverloadExperiment.java
@@ -21,13 +21,12 @@
 import org.wasabicart.experiment.figures.HistoryReader;
 import org.wasabicart.experiment.figures.HistoryRun;
 import org.wasabicart.experiment.harness.ControlMode;
-import org.wasabicart.experiment.harness.DeployedNode;
 import org.wasabicart.experiment.harness.Deployment;
 import org.wasabicart.experiment.harness.DeploymentPlan;
 import org.wasabicart.experiment.harness.ProcessHarness;
+import org.wasabicart.experiment.harness.WarmUp;
 import org.wasabicart.standin.caller.Arrival;
 import org.wasabicart.standin.caller.ArrivalSchedule;
-import org.wasabicart.standin.caller.CallerKind;
 import org.wasabicart.standin.caller.LoadGenerator;
 import org.wasabicart.standin.caller.LoadResult;
 
@@ -38,6 +37,8 @@
 
 	private static final String DEFAULT_MULTIPLE = "5";
 
+	private static final double WARM_UP_SECONDS = 3;
+
 	private static final double MILLISECONDS_PER_SECOND = 1e3;
 
 	private final String name;
@@ -93,7 +94,7 @@
 		OverloadScenario scenario = this.scenarios.apply(arguments);
 		DeploymentPlan plan = ScaledPlans.of(arguments.text("deployment"));
 		List<Arrival> arrivals = ArrivalSchedule.create(arguments.seed(), scenario.phases(plan.capacity()),
-				callerKinds(plan));
+				plan.callerKinds());
 		PrintStream output = arguments.output();
 		output.printf("%s, %s: bottleneck %s, capacity %.1f requests/s by slots and service time, %d requests%n",
 				this.name, plan.name(), plan.bottleneck().name(), plan.capacity(), arrivals.size());
@@ -106,6 +107,7 @@
 			for (Deployment deployment : deployments) {
 				deployment.awaitReady();
 			}
+			WarmUp.run(deployments, WARM_UP_SECONDS);
 			for (Deployment deployment : deployments) {
 				ObjectNode figures = drive(deployment, scenario, arrivals);
 				report.set(deployment.mode().flag(), figures);
@@ -125,20 +127,12 @@
 		return List.of(ControlMode.valueOf(baseline.toUpperCase(Locale.ROOT)));
 	}
 
-	private static List<CallerKind> callerKinds(DeploymentPlan plan) {
-		return plan.kinds()
-			.stream()
-			.map((kind) -> new CallerKind(kind.name(), kind.pathPrefix(), kind.order(), kind.deadlineMilliseconds(),
-					kind.share()))
-			.toList();
-	}
-
 	private static ObjectNode drive(Deployment deployment, OverloadScenario scenario, List<Arrival> arrivals)
 			throws Exception {
-		List<String> urls = deployment.nodes().stream().map(DeployedNode::httpUrl).toList();
 		ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
 		long bytesBefore = regionBytes(deployment);
-		try (LoadGenerator generator = new LoadGenerator(urls, DeploymentPlan.TENANT, scenario.behaviour())) {
+		try (LoadGenerator generator = new LoadGenerator(deployment.httpUrls(), DeploymentPlan.TENANT,
+				scenario.behaviour())) {
 			schedule(timer, scenario.trigger().fromSeconds(), scenario.begin(), deployment);
 			schedule(timer, scenario.trigger().toSeconds(), scenario.end(), deployment);
 			LoadResult result = generator.run(arrivals, (record) -> {
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/overload/OverloadScenario.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/overload/OverloadScenario.java
@@ -25,12 +25,12 @@
 		double triggerCapacityShare, double triggerSeconds, CallerBehaviour behaviour, DeploymentAction begin,
 		DeploymentAction end) {
 
-	// Time for cold code and for the nodes' first samples; not part of any figure.
-	private static final double SETTLE_SECONDS = 2;
+	// Time for the nodes' first samples of this load; not part of any figure.
+	private static final double SETTLE_SECONDS = 1;
 
 	private static final double BEFORE_SECONDS = 2;
 
-	private static final double AFTER_SECONDS = 3.5;
+	private static final double AFTER_SECONDS = 3;
 
 	public OverloadScenario {
 		Objects.requireNonNull(name, "name");
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/overload/OverloadScenarios.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/overload/OverloadScenarios.java
@@ -11,7 +11,7 @@
  */
 final class OverloadScenarios {
 
-	private static final double TRIGGER_SECONDS = 3.5;
+	private static final double TRIGGER_SECONDS = 3;
 
 	private static final CallerBehaviour RETRYING = new CallerBehaviour(1_000, 3, 50, true);
 
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendServer.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendServer.java
@@ -179,13 +179,12 @@
 			this.queue.release();
 			return;
 		}
-		if (!run.start()) {
+		long microseconds = this.behaviour.nextServiceMicroseconds();
+		boolean started = run.start(microseconds, () -> this.environment.history().write("start", run, ""));
+		if (!started) {
 			this.queue.release();
 			return;
 		}
-		long microseconds = this.behaviour.nextServiceMicroseconds();
-		run.serviceMicroseconds(microseconds);
-		this.environment.history().write("start", run, "");
 		if (microseconds == 0) {
 			callOthers(run);
 			return;
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/Run.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/Run.java
@@ -75,19 +75,19 @@
 		return this.serviceMicroseconds;
 	}
 
-	void serviceMicroseconds(long microseconds) {
-		this.serviceMicroseconds = microseconds;
-	}
-
 	/**
 	 * Moves from waiting to running.
+	 * @param microseconds service time
+	 * @param recorder records the start; runs before the run can end
 	 * @return whether the run may start
 	 */
-	synchronized boolean start() {
+	synchronized boolean start(long microseconds, Runnable recorder) {
 		if (this.state != State.WAITING) {
 			return false;
 		}
 		this.state = State.RUNNING;
+		this.serviceMicroseconds = microseconds;
+		recorder.run();
 		return true;
 	}
 
