--- a/wasabicart-command/src/main/java/org/wasabicart/command/InForceWait.java
+++ b/wasabicart-command/src/main/java/org/wasabicart/command/InForceWait.java
@@ -4,8 +4,6 @@
 import java.time.Duration;
 import java.util.List;
 
-import com.fasterxml.jackson.databind.JsonNode;
-
 import org.wasabicart.core.model.Revision;
 
 /**
@@ -40,12 +38,9 @@
 	private Result count(Revision revision, long start) throws InterruptedException {
 		for (String node : this.nodes) {
 			try {
-				JsonNode members = this.client.read(node).path("members");
-				int inForce = 0;
-				for (JsonNode member : members) {
-					inForce += (member.path("revision").asLong() >= revision.value()) ? 1 : 0;
-				}
-				return new Result(inForce, members.size(), Duration.ofNanos(System.nanoTime() - start));
+				List<StatusMember> members = StatusMember.read(this.client.read(node));
+				long inForce = members.stream().filter((member) -> member.revision() >= revision.value()).count();
+				return new Result((int) inForce, members.size(), Duration.ofNanos(System.nanoTime() - start));
 			}
 			catch (IOException ex) {
 				// The next named node may respond.
--- a/wasabicart-command/src/main/java/org/wasabicart/command/StatusTables.java
+++ b/wasabicart-command/src/main/java/org/wasabicart/command/StatusTables.java
@@ -1,9 +1,5 @@
 package org.wasabicart.command;
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.List;
-
 import com.fasterxml.jackson.databind.JsonNode;
 
 /**
@@ -15,11 +11,11 @@
 	}
 
 	static void print(JsonNode status, CommandOutput output) {
-		output.line("node " + status.path("nodeId").asText("-") + ", instance " + status.path("instance").asText("-")
-				+ ", revision " + status.path("revision").asText("-"));
+		output.line("node " + status.path("node").asText("-") + ", instance " + status.path("instance").asText("-")
+				+ ", " + status.path("state").asText("-") + ", revision " + status.path("revision").asText("-"));
 		output.line("");
-		printMembers(status.path("members"), output);
-		if (status.has("admission")) {
+		printMembers(status, output);
+		if (status.path("admission").isObject()) {
 			output.line("");
 			printAdmission(status.path("admission"), output);
 		}
@@ -29,16 +25,11 @@
 		}
 	}
 
-	private static void printMembers(JsonNode members, CommandOutput output) {
-		TextTable table = new TextTable("SERVICE", "FAILURE DOMAIN", "REGION", "NODE", "STATE", "SLOTS", "REVISION");
-		List<JsonNode> sorted = new ArrayList<>();
-		members.forEach(sorted::add);
-		sorted.sort(Comparator.comparing((JsonNode member) -> member.path("service").asText())
-			.thenComparing((member) -> member.path("failureDomain").asText())
-			.thenComparing((member) -> member.path("id").asText()));
-		sorted.forEach((member) -> table.row(member.path("service").asText(), member.path("failureDomain").asText(),
-				member.path("region").asText(), member.path("id").asText(), member.path("state").asText(),
-				member.path("slots").asText(), member.path("revision").asText()));
+	private static void printMembers(JsonNode status, CommandOutput output) {
+		TextTable table = new TextTable("SERVICE", "FAILURE DOMAIN", "NODE", "ADDRESS", "STATE", "SLOTS", "REVISION");
+		StatusMember.read(status)
+			.forEach((member) -> table.row(member.service(), member.failureDomain(), member.node(), member.address(),
+					member.state(), member.slots(), member.revision()));
 		table.print(output);
 	}
 
