--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
@@ -11,6 +11,7 @@
 import org.wasabicart.experiment.demo.DemoExperiment;
 import org.wasabicart.experiment.latency.LatencyExperiment;
 import org.wasabicart.experiment.membership.ConfigurationExperiment;
+import org.wasabicart.experiment.membership.DrainExperiment;
 import org.wasabicart.experiment.membership.MembershipExperiment;
 import org.wasabicart.experiment.membership.MembershipFaultsExperiment;
 import org.wasabicart.experiment.overload.OverloadExperiment;
@@ -46,6 +47,7 @@
 		experiments.add(new MembershipExperiment());
 		experiments.add(new MembershipFaultsExperiment());
 		experiments.add(new ConfigurationExperiment());
+		experiments.add(new DrainExperiment());
 		return new ExperimentRegistry(experiments);
 	}
 
--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/DrainExperiment.java
@@ -0,0 +1,134 @@
+package org.wasabicart.experiment.membership;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.wasabicart.experiment.Experiment;
+import org.wasabicart.experiment.ExperimentArguments;
+import org.wasabicart.experiment.ScaledPlans;
+import org.wasabicart.experiment.figures.HistoryReader;
+import org.wasabicart.experiment.figures.HistoryRun;
+import org.wasabicart.experiment.harness.ControlMode;
+import org.wasabicart.experiment.harness.DeployedNode;
+import org.wasabicart.experiment.harness.Deployment;
+import org.wasabicart.experiment.harness.DeploymentPlan;
+import org.wasabicart.experiment.harness.ManagedProcess;
+import org.wasabicart.experiment.harness.ProcessHarness;
+import org.wasabicart.experiment.harness.ProcessSignal;
+import org.wasabicart.experiment.harness.WarmUp;
+import org.wasabicart.standin.caller.ArrivalSchedule;
+import org.wasabicart.standin.caller.CallerBehaviour;
+import org.wasabicart.standin.caller.CallerOutcome;
+import org.wasabicart.standin.caller.CallerRecord;
+import org.wasabicart.standin.caller.LoadGenerator;
+import org.wasabicart.standin.caller.LoadPhase;
+import org.wasabicart.standin.caller.LoadResult;
+
+/**
+ * Stops one node as planned, under load, with real processes on loopback.
+ */
+public final class DrainExperiment implements Experiment {
+
+	private static final String DRAINED_SERVICE = "stores";
+
+	private static final double WARM_UP_SECONDS = 4;
+
+	private static final double LOAD_SECONDS = 14;
+
+	private static final long STOP_AFTER_SECONDS = 5;
+
+	private static final long EXIT_LIMIT_SECONDS = 30;
+
+	private static final double LOAD_SHARE = 0.4;
+
+	private static final double MICROSECONDS = 1e6;
+
+	private static final CallerBehaviour PATIENT = new CallerBehaviour(3_000, 1, 50, true);
+
+	@Override
+	public String name() {
+		return "drain";
+	}
+
+	@Override
+	public String description() {
+		return "new work and cut requests at a node that is stopped as planned, with real processes";
+	}
+
+	@Override
+	public JsonNode run(ExperimentArguments arguments) throws Exception {
+		DeploymentPlan plan = ScaledPlans.kleinhans();
+		try (ProcessHarness harness = new ProcessHarness();
+				Deployment deployment = Deployment.start(harness, plan, ControlMode.WASABICART,
+						arguments.addressPrefix())) {
+			deployment.awaitReady();
+			WarmUp.run(List.of(deployment), WARM_UP_SECONDS);
+			return drive(deployment, arguments.seed());
+		}
+	}
+
+	private static ObjectNode drive(Deployment deployment, long seed) throws Exception {
+		DeployedNode drained = deployment.nodes(DRAINED_SERVICE).get(0);
+		ManagedProcess process = deployment.process(drained.name());
+		// Callers of the drained node's own HTTP address are not what is measured.
+		List<String> entries = deployment.httpUrls().stream().filter((url) -> !url.equals(drained.httpUrl())).toList();
+		List<LoadPhase> phases = List.of(new LoadPhase(LOAD_SECONDS, LOAD_SHARE * deployment.plan().capacity()));
+		AtomicLong stopped = new AtomicLong();
+		ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+		try (LoadGenerator generator = new LoadGenerator(entries, DeploymentPlan.TENANT, PATIENT)) {
+			timer.schedule(() -> {
+				stopped.set(System.currentTimeMillis() * 1_000);
+				process.signal(ProcessSignal.TERM);
+				return null;
+			}, STOP_AFTER_SECONDS, TimeUnit.SECONDS);
+			LoadResult result = generator.run(ArrivalSchedule.create(seed, phases, deployment.plan().callerKinds()),
+					(record) -> {
+					});
+			boolean ended = process.awaitEnd(EXIT_LIMIT_SECONDS);
+			ObjectNode report = report(drained, result, new HistoryReader().read(deployment.history()), stopped.get());
+			report.put("nodeEnded", ended);
+			return report;
+		}
+		finally {
+			timer.shutdownNow();
+		}
+	}
+
+	private static ObjectNode report(DeployedNode drained, LoadResult result, List<HistoryRun> runs, long stopped) {
+		long lastStart = stopped;
+		int before = 0;
+		int unfinished = 0;
+		for (HistoryRun run : runs) {
+			if (!run.ran() || !run.server().equals(drained.name())) {
+				continue;
+			}
+			before += (run.startMicroseconds() < stopped) ? 1 : 0;
+			unfinished += (run.endMicroseconds() == 0) ? 1 : 0;
+			lastStart = Math.max(lastStart, run.startMicroseconds());
+		}
+		Map<String, Integer> outcomes = new TreeMap<>();
+		int cut = unfinished;
+		for (CallerRecord record : result.records()) {
+			outcomes.merge(record.outcome().code(), 1, Integer::sum);
+			boolean whole = record.outcome() == CallerOutcome.COMPLETED || record.outcome() == CallerOutcome.REFUSED;
+			cut += whole ? 0 : 1;
+		}
+		ObjectNode report = JsonNodeFactory.instance.objectNode();
+		report.put("newWorkAfterSeconds", (lastStart - stopped) / MICROSECONDS);
+		report.put("requestsCut", cut);
+		report.put("runsAtNodeBeforeStop", before);
+		report.put("requests", result.records().size());
+		outcomes.forEach((outcome, count) -> report.put("requests-" + outcome, count));
+		return report;
+	}
+
+}
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/FaultScenarios.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/FaultScenarios.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 import org.wasabicart.core.membership.MembershipSettings;
+import org.wasabicart.core.model.MemberState;
 
 /**
  * Pauses, loss, partitions, crashes and replacements, each on a fresh fleet.
@@ -39,6 +40,8 @@
 		report.set("oneCrash", crash(1));
 		report.set("failureDomainCrash", crash(this.layout.failureDomains()));
 		report.set("rollingReplacement", rollingReplacement());
+		report.set("failureDomainReplacement", failureDomainReplacement());
+		report.put("drainingSeenByAllSeconds", draining());
 		return report;
 	}
 
@@ -132,6 +135,40 @@
 		return result;
 	}
 
+	private ObjectNode failureDomainReplacement() {
+		MembershipFleet fleet = started();
+		for (int node = 0; node < this.layout.nodes(); node += this.layout.failureDomains()) {
+			FleetNode old = fleet.node(node);
+			fleet.recorder().crashed(old.id(), fleet.time().nanoseconds());
+			fleet.crash(old);
+			fleet.start(node, "replacement-" + node, 1);
+		}
+		ObjectNode result = result(fleet, fleet.recorder().falseRemovals());
+		long replaced = fleet.running().stream().filter((node) -> !node.id().value().startsWith("node-")).count();
+		long expected = (this.layout.nodes() - replaced) * fleet.running().size();
+		result.put("staleEntries", staleEntries(fleet) - expected);
+		return result;
+	}
+
+	private double draining() {
+		MembershipFleet fleet = started();
+		FleetNode leaving = fleet.node(0);
+		leaving.controller.announce(this.layout.member(0, leaving.id().value(), 1, MemberState.DRAINING));
+		long start = fleet.time().nanoseconds();
+		while (fleet.time().nanoseconds() - start < LIMIT && !allSeeDraining(fleet, leaving)) {
+			fleet.time().runUntil(fleet.time().nanoseconds() + SECOND / 20);
+		}
+		return (double) (fleet.time().nanoseconds() - start) / SECOND;
+	}
+
+	private static boolean allSeeDraining(MembershipFleet fleet, FleetNode leaving) {
+		return fleet.running()
+			.stream()
+			.allMatch((node) -> node.controller.members()
+				.stream()
+				.anyMatch((member) -> member.id().equals(leaving.id()) && member.state() == MemberState.DRAINING));
+	}
+
 	private static long staleEntries(MembershipFleet fleet) {
 		return fleet.running()
 			.stream()
