--- a/wasabicart-core/src/main/java/org/wasabicart/core/routing/MemberLoad.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/routing/MemberLoad.java
@@ -175,7 +175,11 @@
 	private void refused(RefusalReason reason, long now, RandomGenerator random) {
 		switch (reason) {
 			case UNREACHABLE, DRAINING, NO_BACKEND_SERVER -> failure(now, FAILURES_TO_EJECT, random);
-			case OVERLOADED, QUEUE_FULL, SHED, TABLE_FULL -> observePressure(1, now);
+			case OVERLOADED, QUEUE_FULL, SHED, TABLE_FULL -> {
+				// A member that refuses for load is reachable.
+				this.failuresInRow = 0;
+				observePressure(1, now);
+			}
 			default -> {
 				// The other reasons concern the request, not the member.
 			}
--- /dev/null
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/routing/EarlyRefusalTests.java
@@ -0,0 +1,89 @@
+package org.wasabicart.core.routing;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+
+import org.wasabicart.core.closedloop.ManualTicker;
+import org.wasabicart.core.model.Execution;
+import org.wasabicart.core.model.KindName;
+import org.wasabicart.core.model.Priority;
+import org.wasabicart.core.model.RequestContext;
+import org.wasabicart.core.model.RequestId;
+import org.wasabicart.core.model.ServiceName;
+import org.wasabicart.core.model.TenantName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EarlyRefusalTests {
+
+	private static final KindName KIND = new KindName("kind");
+
+	private static final ServiceName ENTRY = new ServiceName("entry");
+
+	private static final ServiceName DEEP = new ServiceName("deep");
+
+	private static final RequestId ROOT = new RequestId("request");
+
+	private static final int ROOT_PRIORITY = Priority.of(50, false, ROOT);
+
+	private static final int NESTED_PRIORITY = Priority.of(50, true, ROOT);
+
+	private final ManualTicker ticker = new ManualTicker();
+
+	private final EarlyRefusal earlyRefusal = EarlyRefusals.learning((kind) -> Optional.of(ENTRY), this.ticker,
+			new Random(1));
+
+	private boolean refused() {
+		RequestContext context = new RequestContext(ROOT, KIND, new TenantName("t"), 50, Execution.IDEMPOTENT,
+				Long.MAX_VALUE / 2, 0, 0);
+		return this.earlyRefusal.check(context).isPresent();
+	}
+
+	// Guards against work at the entry service that a deeper service would waste.
+	@Test
+	void comparesWithThePriorityAtTheTouchedService() {
+		this.earlyRefusal.learn(KIND, DEEP, NESTED_PRIORITY);
+		assertThat(refused()).isFalse();
+		this.earlyRefusal.learn(KIND, ENTRY, ROOT_PRIORITY + 1);
+		assertThat(refused()).isTrue();
+	}
+
+	@Test
+	void refusesBelowTheThresholdOfADeepService() {
+		this.earlyRefusal.learn(KIND, DEEP, NESTED_PRIORITY + 1);
+		assertThat(refused()).isTrue();
+	}
+
+	// Guards against refusing because of one slow server of several.
+	@Test
+	void usesTheLowestRecentThreshold() {
+		this.earlyRefusal.learn(KIND, DEEP, 0);
+		this.earlyRefusal.learn(KIND, DEEP, NESTED_PRIORITY + 1);
+		assertThat(refused()).isFalse();
+	}
+
+	// Guards against a refusal that lasts because nothing is sent that could end it.
+	@Test
+	void lastsUntilProbesAndAgeEndIt() {
+		this.earlyRefusal.learn(KIND, DEEP, NESTED_PRIORITY + 1);
+		this.ticker.advance(Duration.ofNanos(ObservedThreshold.PROBE_INTERVAL + 1));
+		assertThat(refused()).isFalse();
+		assertThat(refused()).isTrue();
+		this.ticker.advance(Duration.ofNanos(ObservedThreshold.MAXIMUM_AGE + 1));
+		assertThat(refused()).isFalse();
+		assertThat(refused()).isFalse();
+	}
+
+	// Guards against refusals by a service that the kind no longer calls.
+	@Test
+	void forgetsServicesThatAreNoLongerTouched() {
+		this.earlyRefusal.learn(KIND, DEEP, NESTED_PRIORITY + 1);
+		this.ticker.advance(Duration.ofNanos(LearningEarlyRefusal.TOUCHED_AGE + 1));
+		this.earlyRefusal.learn(new KindName("other"), DEEP, NESTED_PRIORITY + 1);
+		assertThat(refused()).isFalse();
+	}
+
+}
