Average the capacity over calls instead of a fixed time

Cause: the throughput over 100 ms is noisy for slow servers, and the capacity takes the higher of two estimates, so noise raises it.

Change: the time between two ends is averaged over 50 calls.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/admission/CapacityEstimate.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/admission/CapacityEstimate.java
@@ -1,7 +1,5 @@
 package org.wasabicart.core.admission;
 
-import java.time.Duration;
-
 /**
  * Calls per second that a backend server can end, from the throughput and from the time
  * that calls hold a slot. The throughput alone is too low while slots are free; the
@@ -9,14 +7,15 @@
  */
 final class CapacityEstimate {
 
-	private static final double THROUGHPUT_HALF_LIFE = Duration.ofMillis(100).toNanos();
+	/** Calls over which the time between two ends is averaged. */
+	private static final int GAP_CALLS = 50;
 
 	private static final double NANOSECONDS_PER_SECOND = 1e9;
 
 	private static final int HOLD_CALLS_MINIMUM = 10;
 
-	/** Decayed number of ended calls. */
-	private double ended;
+	/** Mean time between two ends, zero until observed. */
+	private double gap;
 
 	private long lastEnd;
 
@@ -32,7 +31,8 @@
 	}
 
 	void ended(long holdNanoseconds, int limit, long now) {
-		this.ended = decayed(now) + 1;
+		long sinceLast = now - this.lastEnd;
+		this.gap += (this.gap == 0) ? sinceLast : (sinceLast - this.gap) / GAP_CALLS;
 		this.lastEnd = now;
 		if (this.hold == 0) {
 			this.hold = Math.max(1, holdNanoseconds);
@@ -43,15 +43,11 @@
 	}
 
 	double perSecond(int limit, int running, long now) {
-		double throughput = decayed(now) * NANOSECONDS_PER_SECOND * Math.log(2) / THROUGHPUT_HALF_LIFE;
+		double throughput = NANOSECONDS_PER_SECOND / Math.max(1, Math.max(this.gap, now - this.lastEnd));
 		// A server that stops answering would otherwise keep its last holding time.
 		double atLeast = (running >= limit) ? now - this.lastEnd : 0;
 		double bySlots = limit * NANOSECONDS_PER_SECOND / Math.max(this.hold, atLeast);
 		return Math.max(throughput, bySlots);
 	}
 
-	private double decayed(long now) {
-		return this.ended * Math.pow(0.5, (now - this.lastEnd) / THROUGHPUT_HALF_LIFE);
-	}
-
 }
