Let a few calls wait at slow servers

Cause: at 62.5/s the target waiting time of 25 ms holds 1.6 calls, so that slots run empty between arrivals.

Change: the target is at least the time of four calls, within half of the queue time.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/admission/QueueingAdmission.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/admission/QueueingAdmission.java
@@ -25,6 +25,9 @@
 	/** Part of the queue time above which the threshold cuts below the capacity. */
 	private static final int TARGET_WAIT_DIVISOR = 4;
 
+	/** Waiting calls that are allowed at least, within half of the queue time. */
+	private static final int TARGET_CALLS = 4;
+
 	private static final double NANOSECONDS_PER_SECOND = 1e9;
 
 	private final Object lock = new Object();
@@ -139,8 +142,8 @@
 			this.queue.expire(now, (dropped) -> drop(dropped, now, decisions));
 			admitQueued(now, decisions);
 			if (this.capacity.known()) {
-				long target = Math.max(1, current.queueTime().toNanos() / TARGET_WAIT_DIVISOR);
 				double perSecond = this.capacity.perSecond(this.limit, this.running.size(), now);
+				long target = target(current, perSecond);
 				long wait = (long) (this.queue.size() * NANOSECONDS_PER_SECOND / perSecond);
 				this.threshold = this.thresholdControl
 					.update(new ThresholdInput(now, perSecond, wait, target, this.queue::sizeFrom));
@@ -149,6 +152,13 @@
 		decisions.announce();
 	}
 
+	// A slow server needs several waiting calls as well to keep its slots busy.
+	private static long target(ServicePolicy policy, double perSecond) {
+		long queueTime = policy.queueTime().toNanos();
+		double fewCalls = Math.min(queueTime / 2.0, TARGET_CALLS * NANOSECONDS_PER_SECOND / perSecond);
+		return (long) Math.max(1, Math.max(queueTime / TARGET_WAIT_DIVISOR, fewCalls));
+	}
+
 	private void admitQueued(long now, Decisions decisions) {
 		while (this.running.size() < this.limit && this.queue.size() > 0) {
 			QueuedCall call = this.queue.poll(now, (dropped) -> drop(dropped, now, decisions));
