Bound the time that failed attempts at a lower limit take

Cause: with 5 slots an attempt lasts a second and costs a fifth of the throughput, and it was repeated after 1 to 4 s at first.

Change: a failed attempt is repeated after at least ten times its duration.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/admission/AdaptiveLimit.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/admission/AdaptiveLimit.java
@@ -52,6 +52,9 @@
 	/** First rise; grows with each rise in a row, so that a large gap closes fast. */
 	private static final double RISE = 0.1;
 
+	/** A probe that fails is repeated after this many times its duration. */
+	private static final int PROBE_COST_INVERSE = 10;
+
 	private static final double RISE_GROWTH = 1.6;
 
 	private static final double RISE_MAXIMUM = 0.5;
@@ -83,6 +86,8 @@
 
 	private long lastProbe;
 
+	private long probeStart;
+
 	private boolean started;
 
 	/** Calls admitted before this time ran under an earlier limit. */
@@ -164,7 +169,8 @@
 				// faster.
 				this.baseLatency = latency;
 			}
-			this.probePause = Math.min(PROBE_PAUSE_MAXIMUM, 2 * this.probePause);
+			long spent = PROBE_COST_INVERSE * (now - this.probeStart);
+			this.probePause = Math.min(PROBE_PAUSE_MAXIMUM, Math.max(spent, 2 * this.probePause));
 		}
 	}
 
@@ -199,6 +205,7 @@
 			return;
 		}
 		this.probing = true;
+		this.probeStart = now;
 		this.limitBeforeProbe = this.limit;
 		this.throughputBeforeProbe = this.window.throughput(now);
 		this.latencyBeforeProbe = this.window.meanLatency();
