--- a/wasabicart-node/src/main/java/org/wasabicart/node/request/ExecutorTaskScheduler.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/request/ExecutorTaskScheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
 import org.jboss.logging.Logger;
@@ -19,7 +20,9 @@
 	 * Creates a scheduler and its thread.
 	 */
 	public ExecutorTaskScheduler() {
-		this.executor = new ScheduledThreadPoolExecutor(1, ExecutorTaskScheduler::newThread);
+		// After the scheduler is closed, late tasks are dropped.
+		this.executor = new ScheduledThreadPoolExecutor(1, ExecutorTaskScheduler::newThread,
+				new ThreadPoolExecutor.DiscardPolicy());
 		// Deadline timers are nearly always cancelled; otherwise they would pile up.
 		this.executor.setRemoveOnCancelPolicy(true);
 		this.executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
