--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/order/TicketTable.java
@@ -0,0 +1,270 @@
+package org.wasabicart.core.order;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.ToLongFunction;
+
+import org.wasabicart.core.Ticker;
+import org.wasabicart.core.model.TenantName;
+
+/**
+ * Tickets of one node. A ticket begins at most once, unless its run is proved not to have
+ * happened. The table refuses new tickets when it is full; it never drops one that could
+ * still begin or be asked for before its time. Safe for use by several threads.
+ * <p>
+ * Time advances only by {@link #tick()}, and by a bounded step each time, so that a pause
+ * of the process does not expire tickets whose frames still wait in a socket.
+ *
+ * @param <R> type of the results
+ */
+public final class TicketTable<R> {
+
+	private static final long MAXIMUM_STEP_NANOSECONDS = 2_000_000_000L;
+
+	private final TicketLimits limits;
+
+	private final ToLongFunction<R> weigher;
+
+	private final Ticker ticker;
+
+	private final Map<String, Entry<R>> entries = new HashMap<>();
+
+	// Finished entries with a result, oldest first.
+	private final Deque<Entry<R>> results = new ArrayDeque<>();
+
+	private long resultBytes;
+
+	private long lastTick;
+
+	private long now;
+
+	/**
+	 * Creates an empty table.
+	 * @param limits bounds
+	 * @param weigher size of a result in bytes
+	 * @param ticker monotonic clock
+	 */
+	public TicketTable(TicketLimits limits, ToLongFunction<R> weigher, Ticker ticker) {
+		this.limits = Objects.requireNonNull(limits, "limits");
+		this.weigher = Objects.requireNonNull(weigher, "weigher");
+		this.ticker = Objects.requireNonNull(ticker, "ticker");
+		this.lastTick = ticker.nanoseconds();
+	}
+
+	/**
+	 * Reserves a new ticket.
+	 * @param ticket ticket
+	 * @param tenant tenant that it belongs to
+	 * @return whether the table had room and did not know the ticket
+	 */
+	public synchronized boolean reserve(String ticket, TenantName tenant) {
+		return !this.entries.containsKey(ticket) && add(ticket, tenant, TicketState.RESERVED);
+	}
+
+	/**
+	 * Begins a reserved order.
+	 * @param ticket ticket
+	 * @param tenant tenant that asks for it
+	 * @return {@code STARTED} for at most one caller per run
+	 */
+	public synchronized BeginResult begin(String ticket, TenantName tenant) {
+		Entry<R> entry = this.entries.get(ticket);
+		if (entry == null) {
+			return BeginResult.ABSENT;
+		}
+		if (!entry.tenant.equals(tenant)) {
+			return BeginResult.OTHER_TENANT;
+		}
+		return switch (entry.state) {
+			case RUNNING -> BeginResult.RUNNING;
+			case FINISHED -> BeginResult.FINISHED;
+			case BARRED -> BeginResult.BARRED;
+			default -> {
+				enter(entry, TicketState.RUNNING);
+				yield BeginResult.STARTED;
+			}
+		};
+	}
+
+	/**
+	 * Begins an order whose ticket another node reserved.
+	 * @param ticket ticket
+	 * @param tenant tenant of the order
+	 * @return {@code STARTED} for at most one caller per run
+	 */
+	public synchronized BeginResult beginNew(String ticket, TenantName tenant) {
+		if (!this.entries.containsKey(ticket)) {
+			return add(ticket, tenant, TicketState.RUNNING) ? BeginResult.STARTED : BeginResult.FULL;
+		}
+		return begin(ticket, tenant);
+	}
+
+	/**
+	 * Ends a running order that ran or may have run.
+	 * @param ticket ticket
+	 * @param result result to keep
+	 */
+	public synchronized void finish(String ticket, R result) {
+		Entry<R> entry = this.entries.get(ticket);
+		if (entry == null || entry.state != TicketState.RUNNING) {
+			return;
+		}
+		enter(entry, TicketState.FINISHED);
+		entry.result = Objects.requireNonNull(result, "result");
+		this.resultBytes += this.weigher.applyAsLong(result);
+		this.results.add(entry);
+		while (this.resultBytes > this.limits.resultBytes()) {
+			dropResult(this.results.remove());
+		}
+	}
+
+	/**
+	 * Returns a running order to reserved, because it is proved not to have run.
+	 * @param ticket ticket
+	 */
+	public synchronized void release(String ticket) {
+		Entry<R> entry = this.entries.get(ticket);
+		if (entry != null && entry.state == TicketState.RUNNING) {
+			enter(entry, TicketState.RESERVED);
+		}
+	}
+
+	/**
+	 * Drops a running order, because it is proved not to have run, or because nobody can
+	 * name its ticket any more.
+	 * @param ticket ticket
+	 */
+	public synchronized void forget(String ticket) {
+		Entry<R> entry = this.entries.get(ticket);
+		if (entry != null && entry.state == TicketState.RUNNING) {
+			this.entries.remove(ticket);
+		}
+	}
+
+	/**
+	 * Returns what is known of a ticket.
+	 * @param ticket ticket
+	 * @return state, with the result of a finished ticket
+	 */
+	public synchronized TicketStatus<R> status(String ticket) {
+		Entry<R> entry = this.entries.get(ticket);
+		if (entry == null) {
+			return new TicketStatus<>(TicketState.ABSENT, Optional.empty());
+		}
+		return new TicketStatus<>(entry.state, Optional.ofNullable(entry.result));
+	}
+
+	/**
+	 * Returns the tenant of a ticket.
+	 * @param ticket ticket
+	 * @return the tenant, or empty if the ticket is not known
+	 */
+	public synchronized Optional<TenantName> tenant(String ticket) {
+		return Optional.ofNullable(this.entries.get(ticket)).map((entry) -> entry.tenant);
+	}
+
+	/**
+	 * Bars a ticket that has not begun, so that a call that is still on its way cannot
+	 * begin it.
+	 * @param ticket ticket
+	 * @param tenant tenant of the order
+	 * @return {@code BARRED} if it never began and never will, and its status otherwise
+	 */
+	public synchronized TicketStatus<R> bar(String ticket, TenantName tenant) {
+		Entry<R> entry = this.entries.get(ticket);
+		if (entry == null && !add(ticket, tenant, TicketState.BARRED)) {
+			return new TicketStatus<>(TicketState.UNDETERMINED, Optional.empty());
+		}
+		if (entry != null && entry.state == TicketState.RESERVED) {
+			enter(entry, TicketState.BARRED);
+		}
+		return status(ticket);
+	}
+
+	/**
+	 * Advances the table's time and drops expired tickets. To be called every second.
+	 */
+	public synchronized void tick() {
+		long current = this.ticker.nanoseconds();
+		this.now += Math.min(MAXIMUM_STEP_NANOSECONDS, Math.max(0, current - this.lastTick));
+		this.lastTick = current;
+		Iterator<Entry<R>> iterator = this.entries.values().iterator();
+		while (iterator.hasNext()) {
+			Entry<R> entry = iterator.next();
+			if (expired(entry)) {
+				iterator.remove();
+				if (entry.result != null) {
+					this.results.remove(entry);
+					dropResult(entry);
+				}
+			}
+		}
+	}
+
+	private boolean expired(Entry<R> entry) {
+		long age = this.now - entry.since;
+		return switch (entry.state) {
+			case RESERVED -> age >= this.limits.reservedFor().toNanos();
+			case FINISHED, BARRED -> age >= this.limits.keptFor().toNanos();
+			default -> false;
+		};
+	}
+
+	private boolean add(String ticket, TenantName tenant, TicketState state) {
+		if (this.entries.size() >= this.limits.maximumTickets()) {
+			return false;
+		}
+		Entry<R> entry = new Entry<>(tenant);
+		enter(entry, state);
+		this.entries.put(ticket, entry);
+		return true;
+	}
+
+	private void enter(Entry<R> entry, TicketState state) {
+		entry.state = state;
+		entry.since = this.now;
+	}
+
+	private void dropResult(Entry<R> entry) {
+		this.resultBytes -= this.weigher.applyAsLong(entry.result);
+		entry.result = null;
+	}
+
+	/**
+	 * Returns the number of tickets of all states.
+	 * @return the number
+	 */
+	public synchronized int size() {
+		return this.entries.size();
+	}
+
+	/**
+	 * Returns the size of all kept results.
+	 * @return number of bytes
+	 */
+	public synchronized long resultBytes() {
+		return this.resultBytes;
+	}
+
+	private static final class Entry<R> {
+
+		private final TenantName tenant;
+
+		private TicketState state;
+
+		private long since;
+
+		private R result;
+
+		Entry(TenantName tenant) {
+			this.tenant = tenant;
+		}
+
+	}
+
+}
