--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/order/HomeFilter.java
@@ -0,0 +1,223 @@
+package org.wasabicart.node.order;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.wasabicart.core.model.Execution;
+import org.wasabicart.core.model.FailureReason;
+import org.wasabicart.core.model.Member;
+import org.wasabicart.core.model.Outcome;
+import org.wasabicart.core.model.RefusalReason;
+import org.wasabicart.core.order.Ticket;
+import org.wasabicart.core.order.TicketState;
+import org.wasabicart.core.order.TicketStatus;
+import org.wasabicart.core.order.TicketTable;
+import org.wasabicart.node.peer.CallHandler;
+import org.wasabicart.node.peer.CallRequest;
+import org.wasabicart.node.peer.CallResponse;
+import org.wasabicart.node.peer.HttpHeaderField;
+import org.wasabicart.node.peer.PeerCall;
+import org.wasabicart.node.peer.PeerCallListener;
+import org.wasabicart.node.request.Outcomes;
+import org.wasabicart.node.request.RequestFilter;
+
+/**
+ * Home node's side of orders: gives a ticket to an order that has none, lets a ticket's
+ * order run once, and forwards orders whose home is another node. A begun order is not
+ * cancelled.
+ */
+final class HomeFilter implements RequestFilter {
+
+	static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+
+	private static final PeerCall NOT_CANCELLABLE = () -> {
+	};
+
+	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+	private final OrderParts parts;
+
+	private final TicketTable<CallResponse> tickets;
+
+	private final OrderTransport transport;
+
+	private final TicketWaiters waiters = new TicketWaiters();
+
+	HomeFilter(OrderParts parts, TicketTable<CallResponse> tickets, OrderTransport transport) {
+		this.parts = parts;
+		this.tickets = tickets;
+		this.transport = transport;
+	}
+
+	@Override
+	public PeerCall handle(CallRequest request, PeerCallListener listener, CallHandler next) {
+		if (request.context().execution() != Execution.ORDER) {
+			return next.handle(request, listener);
+		}
+		Optional<String> key = key(request);
+		if (request.ticket().isPresent()) {
+			ticketed(request, listener, next);
+		}
+		else if (key.isPresent()) {
+			claimed(request, key.get(), listener, next);
+		}
+		else {
+			unnamed(request, listener, next);
+		}
+		return NOT_CANCELLABLE;
+	}
+
+	// A nested call can carry the root request's key, which is not its own.
+	private static Optional<String> key(CallRequest request) {
+		if (request.context().depth() > 0) {
+			return Optional.empty();
+		}
+		return request.headers()
+			.stream()
+			.filter((field) -> field.name().equalsIgnoreCase(IDEMPOTENCY_KEY))
+			.map(HttpHeaderField::value)
+			.findFirst();
+	}
+
+	private void unnamed(CallRequest request, PeerCallListener listener, CallHandler next) {
+		String ticket = newTicket();
+		if (!this.tickets.reserve(ticket, request.context().tenant())) {
+			listener.finished(Outcomes.refused(request, RefusalReason.TABLE_FULL, RETRY_AFTER));
+			return;
+		}
+		this.tickets.begin(ticket, request.context().tenant());
+		next.handle(withTicket(request, ticket), (response) -> {
+			// The caller does not know the ticket, so nobody asks for its result.
+			this.tickets.forget(ticket);
+			listener.finished(response);
+		});
+	}
+
+	private void claimed(CallRequest request, String key, PeerCallListener listener, CallHandler next) {
+		String ticket = newTicket();
+		if (!this.tickets.reserve(ticket, request.context().tenant())) {
+			listener.finished(Outcomes.refused(request, RefusalReason.TABLE_FULL, RETRY_AFTER));
+			return;
+		}
+		this.parts.claims()
+			.claim(request.context(), key, ticket, this.parts.members().get().size())
+			.whenComplete((claim, failure) -> {
+				if (failure != null) {
+					// The ticket stays reserved: if the claim was written after all, a
+					// later
+					// send with the same key finds it and may run it.
+					listener.finished(Outcomes.refused(request, RefusalReason.STORE_UNAVAILABLE, RETRY_AFTER));
+				}
+				else if (claim.ticket().isEmpty()) {
+					listener.finished(Outcomes.refused(request, claim.refusal(), RETRY_AFTER));
+				}
+				else {
+					ticketed(withTicket(request, claim.ticket().get()), listener, next);
+				}
+			});
+	}
+
+	private void ticketed(CallRequest request, PeerCallListener listener, CallHandler next) {
+		String text = request.ticket().orElseThrow();
+		Optional<Ticket> ticket = Ticket.parse(text);
+		if (ticket.isEmpty()) {
+			listener.finished(Outcomes.refused(request, RefusalReason.TICKET_REJECTED, Duration.ZERO));
+		}
+		else if (ticket.get().home().equals(this.parts.self())
+				&& ticket.get().instance().equals(this.parts.instance())) {
+			atHome(request, text, listener, next);
+		}
+		else if (ticket.get().home().equals(this.parts.self()) || request.toHome()) {
+			listener.finished(unknown(FailureReason.HOME_LOST));
+		}
+		else {
+			forward(request, ticket.get(), listener);
+		}
+	}
+
+	private void atHome(CallRequest request, String ticket, PeerCallListener listener, CallHandler next) {
+		if (this.parts.draining().getAsBoolean() && this.tickets.status(ticket).state() == TicketState.RESERVED) {
+			listener.finished(Outcomes.refused(request, RefusalReason.DRAINING, RETRY_AFTER));
+			return;
+		}
+		switch (this.tickets.begin(ticket, request.context().tenant())) {
+			case STARTED -> next.handle(addressed(request, request.ticket(), false),
+					(response) -> ended(ticket, response, listener));
+			case RUNNING -> await(ticket, listener);
+			case FINISHED -> listener.finished(kept(ticket));
+			case ABSENT -> listener.finished(unknown(FailureReason.RESULT_EXPIRED));
+			default -> listener.finished(Outcomes.refused(request, RefusalReason.TICKET_REJECTED, Duration.ZERO));
+		}
+	}
+
+	private void ended(String ticket, CallResponse response, PeerCallListener listener) {
+		if (response.outcome() instanceof Outcome.Refused) {
+			this.tickets.release(ticket);
+		}
+		else {
+			this.tickets.finish(ticket, response);
+		}
+		listener.finished(response);
+		this.waiters.finished(ticket, response);
+	}
+
+	private void await(String ticket, PeerCallListener listener) {
+		if (!this.waiters.add(ticket, listener)) {
+			listener.finished(unknown(FailureReason.CONNECTION_LOST));
+			return;
+		}
+		// The order may have ended before the listener was added.
+		TicketStatus<CallResponse> status = this.tickets.status(ticket);
+		if (status.state() != TicketState.RUNNING && this.waiters.remove(ticket, listener)) {
+			listener.finished(
+					(status.state() == TicketState.FINISHED) ? kept(ticket) : unknown(FailureReason.CONNECTION_LOST));
+		}
+	}
+
+	private CallResponse kept(String ticket) {
+		return this.tickets.status(ticket)
+			.result()
+			.orElseGet(() -> CallResponse.withoutBody(new Outcome.Failed(FailureReason.RESULT_EXPIRED, false), 0));
+	}
+
+	private void forward(CallRequest request, Ticket ticket, PeerCallListener listener) {
+		Optional<Member> home = this.transport.member(ticket.home());
+		if (home.isEmpty() || !home.get().instance().equals(ticket.instance())) {
+			listener.finished(unknown(FailureReason.HOME_LOST));
+			return;
+		}
+		CallRequest forwarded = addressed(request, request.ticket(), true);
+		this.transport.send(home.get().address(), forwarded, (response) -> listener.finished(truthful(response)));
+	}
+
+	// This node does not know whether an earlier send of the ticket ran, so only a
+	// refusal
+	// by the ticket's table counts as "not run".
+	private static CallResponse truthful(CallResponse response) {
+		if (response.outcome() instanceof Outcome.Refused refused) {
+			return switch (refused.reason()) {
+				case UNREACHABLE, EXPIRED, CANCELLED, TABLE_FULL -> unknown(FailureReason.HOME_LOST);
+				default -> response;
+			};
+		}
+		return response;
+	}
+
+	private String newTicket() {
+		return Ticket.create(this.parts.self(), this.parts.instance(), this.parts.random()).toString();
+	}
+
+	private static CallRequest withTicket(CallRequest request, String ticket) {
+		return addressed(request, Optional.of(ticket), request.toHome());
+	}
+
+	private static CallRequest addressed(CallRequest request, Optional<String> ticket, boolean toHome) {
+		return new CallRequest(request.context(), request.service(), ticket, toHome, request.method(), request.path(),
+				request.headers(), request.body());
+	}
+
+	private static CallResponse unknown(FailureReason reason) {
+		return CallResponse.withoutBody(new Outcome.Unknown(reason), 0);
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/order/OrderTransport.java
@@ -0,0 +1,76 @@
+package org.wasabicart.node.order;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.wasabicart.core.model.Execution;
+import org.wasabicart.core.model.InstanceNumber;
+import org.wasabicart.core.model.Member;
+import org.wasabicart.core.model.NodeAddress;
+import org.wasabicart.core.model.NodeId;
+import org.wasabicart.core.model.Outcome;
+import org.wasabicart.node.peer.CallRequest;
+import org.wasabicart.node.peer.PeerCall;
+import org.wasabicart.node.peer.PeerCallListener;
+import org.wasabicart.node.peer.PeerTransport;
+import org.wasabicart.wire.generated.link.ControlRequest;
+import org.wasabicart.wire.generated.link.ControlResponse;
+
+/**
+ * Transport that asks the peer what became of an order when its response was lost, before
+ * it reports an outcome.
+ */
+final class OrderTransport implements PeerTransport {
+
+	private final OrderParts parts;
+
+	OrderTransport(OrderParts parts) {
+		this.parts = parts;
+	}
+
+	@Override
+	public PeerCall send(NodeAddress address, CallRequest request, PeerCallListener listener) {
+		boolean order = request.context().execution() == Execution.ORDER && request.ticket().isPresent();
+		if (!order) {
+			return this.parts.transport().send(address, request, listener);
+		}
+		// Taken before the call is sent: an instance that starts later cannot know it.
+		Optional<InstanceNumber> instance = instance(address);
+		long sent = this.parts.ticker().nanoseconds();
+		return this.parts.transport().send(address, request, (response) -> {
+			if (response.outcome() instanceof Outcome.Failed failed && lost(failed)) {
+				new ResultQuery(this.parts, address, instance, sent, request, listener).start();
+			}
+			else {
+				listener.finished(response);
+			}
+		});
+	}
+
+	private static boolean lost(Outcome.Failed failed) {
+		return switch (failed.reason()) {
+			case CONNECTION_LOST, INCOMPLETE_ANSWER, TIMEOUT, CANCELLED -> true;
+			default -> false;
+		};
+	}
+
+	@Override
+	public CompletableFuture<ControlResponse> ask(NodeAddress address, ControlRequest request, Duration timeout) {
+		return this.parts.transport().ask(address, request, timeout);
+	}
+
+	Optional<Member> member(NodeId id) {
+		return this.parts.members().get().stream().filter((member) -> member.id().equals(id)).findFirst();
+	}
+
+	private Optional<InstanceNumber> instance(NodeAddress address) {
+		return this.parts.members()
+			.get()
+			.stream()
+			.filter((member) -> member.address().equals(address))
+			.map(Member::instance)
+			.findFirst();
+	}
+
+}
--- /dev/null
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/order/TicketWaiters.java
@@ -0,0 +1,51 @@
+package org.wasabicart.node.order;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.wasabicart.node.peer.CallResponse;
+import org.wasabicart.node.peer.PeerCallListener;
+
+/**
+ * Listeners that wait for a running order which another request began. Safe for use by
+ * several threads.
+ */
+final class TicketWaiters {
+
+	private static final int MAXIMUM_PER_TICKET = 16;
+
+	private final Map<String, List<PeerCallListener>> waiters = new HashMap<>();
+
+	synchronized boolean add(String ticket, PeerCallListener listener) {
+		List<PeerCallListener> listeners = this.waiters.computeIfAbsent(ticket, (key) -> new ArrayList<>());
+		return listeners.size() < MAXIMUM_PER_TICKET && listeners.add(listener);
+	}
+
+	/**
+	 * Removes a listener.
+	 * @param ticket ticket
+	 * @param listener listener
+	 * @return whether it was still waiting
+	 */
+	synchronized boolean remove(String ticket, PeerCallListener listener) {
+		List<PeerCallListener> listeners = this.waiters.get(ticket);
+		boolean removed = listeners != null && listeners.remove(listener);
+		if (removed && listeners.isEmpty()) {
+			this.waiters.remove(ticket);
+		}
+		return removed;
+	}
+
+	void finished(String ticket, CallResponse response) {
+		List<PeerCallListener> listeners;
+		synchronized (this) {
+			listeners = this.waiters.remove(ticket);
+		}
+		if (listeners != null) {
+			listeners.forEach((listener) -> listener.finished(response));
+		}
+	}
+
+}
