Run orders through their tickets in the node

The node's request path had no handling of orders. The home node's filter comes after the deadline and before early refusal, because a ticket whose order already ran must not be answered as not run.

--- a/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
@@ -7,16 +7,20 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
 import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.jboss.logging.Logger;
 
 import org.wasabicart.core.model.Execution;
 import org.wasabicart.core.retry.ClientRequestTable;
 import org.wasabicart.node.http.NodeHttpServers;
+import org.wasabicart.node.http.OperatorApi;
 import org.wasabicart.node.http.PekkoBackendExit;
 import org.wasabicart.node.peer.CallHandler;
 import org.wasabicart.node.peer.PeerTransport;
@@ -55,6 +59,8 @@
 
 	private final List<NodeService> services = new ArrayList<>();
 
+	private final List<OperatorApi> paths = new ArrayList<>();
+
 	private final PeerTransportSlot transport = new PeerTransportSlot();
 
 	private final ExecutorTaskScheduler scheduler = new ExecutorTaskScheduler();
@@ -92,7 +98,19 @@
 		this.entry = entrySide();
 		ClientRequestTable requests = new ClientRequestTable(parts.ticker());
 		this.servers = new NodeHttpServers(this.system, parts.ticker(), parts.random(), parts.configuration(),
-				parts.localServer(), contexts, requests, this.entry, (request) -> Optional.empty());
+				parts.localServer(), contexts, requests, this.entry, this::ownPath);
+	}
+
+	private Optional<CompletionStage<HttpResponse>> ownPath(HttpRequest request) {
+		return this.paths.stream().flatMap((api) -> api.handle(request).stream()).findFirst();
+	}
+
+	/**
+	 * Adds paths of the node's own. To be invoked before {@link #start()}.
+	 * @param api handles some of the node's own paths
+	 */
+	public void addPaths(OperatorApi api) {
+		this.paths.add(Objects.requireNonNull(api, "api"));
 	}
 
 	private CallHandler servingSide() {
@@ -107,8 +125,10 @@
 				this.serving);
 		List<RequestFilter> filters = new ArrayList<>();
 		filters.add(new DeadlineFilter(this.parts.ticker(), this.scheduler));
-		filters.add(new EarlyRefusalFilter(this.parts.decisions().earlyRefusal()));
+		// Orders come before early refusal: a ticket whose order already ran must not be
+		// answered as not run.
 		filters.addAll(this.parts.entryFilters());
+		filters.add(new EarlyRefusalFilter(this.parts.decisions().earlyRefusal()));
 		return RequestFilter.chain(filters, last);
 	}
 
--- a/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.DoubleSupplier;
@@ -17,17 +18,26 @@
 import org.wasabicart.core.model.ServicePolicy;
 import org.wasabicart.core.model.TenantName;
 import org.wasabicart.core.model.TenantPolicy;
+import org.wasabicart.core.order.ClaimController;
+import org.wasabicart.core.order.TicketLimits;
 import org.wasabicart.core.retry.RetryAllowances;
 import org.wasabicart.core.retry.RetryBudgets;
 import org.wasabicart.core.routing.EarlyRefusals;
 import org.wasabicart.core.routing.RegionLink;
 import org.wasabicart.core.routing.Routers;
+import org.wasabicart.node.http.TicketApi;
 import org.wasabicart.node.link.LinkIdentity;
 import org.wasabicart.node.link.LinkLimits;
 import org.wasabicart.node.link.LinkTransport;
+import org.wasabicart.node.order.KeyClaims;
+import org.wasabicart.node.order.OrderParts;
+import org.wasabicart.node.order.OrderService;
+import org.wasabicart.node.order.StoreKeyClaims;
 import org.wasabicart.node.peer.ControlHandler;
+import org.wasabicart.node.request.ExecutorTaskScheduler;
 import org.wasabicart.node.request.LocalAdmission;
 import org.wasabicart.node.settings.NodeSettings;
+import org.wasabicart.store.HttpStoreClient;
 import org.wasabicart.wire.generated.link.ControlResponse;
 
 /**
@@ -35,6 +45,11 @@
  */
 final class NodeAssembly {
 
+	// A part of the several hundred writes per second of the store.
+	private static final double STORE_CLAIMS_PER_SECOND = 200;
+
+	private static final Duration STORE_TIMEOUT = Duration.ofMillis(500);
+
 	private final NodeSettings settings;
 
 	private final Ticker ticker = System::nanoTime;
@@ -43,6 +58,8 @@
 
 	private final ConfigurationHolder configuration = new ConfigurationHolder();
 
+	private KeyClaims claims;
+
 	private NodeAssembly(NodeSettings settings) {
 		this.settings = settings;
 	}
@@ -61,16 +78,40 @@
 		byte[] sharedKey = Files.readAllBytes(this.settings.sharedKeyFile());
 		// A later run of the node has a higher number, as far as the VM's clock allows.
 		InstanceNumber instance = new InstanceNumber(System.currentTimeMillis());
-		NodeParts parts = new NodeParts(this.settings, instance, this.ticker, this.random, this.configuration,
+		NodeParts base = new NodeParts(this.settings, instance, this.ticker, this.random, this.configuration,
 				new LocalServerHolder(this.ticker), decisions(), List.of(), List.of());
-		Node node = new Node(parts);
 		LinkTransport links = links(instance, sharedKey);
-		node.connect(links);
-		node.addService(new LinkService(links, node.peerHandler(), controls()));
-		node.addService(new MembershipService(parts, sharedKey, parts.decisions().router()::updateMembers));
+		MembershipService membership = new MembershipService(base, sharedKey, base.decisions().router()::updateMembers);
+		OrderNodeService orderService = orders(base, links, membership);
+		OrderService orders = orderService.orders();
+		Node node = new Node(base.withFilters(List.of(orders.homeFilter()), List.of(orders.servingFilter())));
+		this.claims = claims(node);
+		node.connect(orders.transport());
+		node.addPaths(new TicketApi(orders, this.configuration, this.random));
+		node.addService(orderService);
+		node.addService(new LinkService(links, node.peerHandler(), controls(orders)));
+		node.addService(membership);
 		return node;
 	}
 
+	private OrderNodeService orders(NodeParts base, LinkTransport links, MembershipService membership) {
+		ExecutorTaskScheduler scheduler = new ExecutorTaskScheduler();
+		OrderParts parts = new OrderParts(this.settings.nodeId(), base.instance(), this.ticker, this.random, scheduler,
+				membership::members, base.localServer()::draining, links,
+				(context, key, ticket, members) -> this.claims.claim(context, key, ticket, members), TicketLimits.HOME,
+				TicketLimits.SERVING);
+		return new OrderNodeService(scheduler, parts);
+	}
+
+	private KeyClaims claims(Node node) {
+		if (this.settings.store().isEmpty()) {
+			return (context, key, ticket, members) -> CompletableFuture
+				.failedFuture(new IOException("No store is configured"));
+		}
+		return new StoreKeyClaims(new HttpStoreClient(node.system(), this.settings.store(), STORE_TIMEOUT),
+				new ClaimController(STORE_CLAIMS_PER_SECOND, this.ticker), this.ticker);
+	}
+
 	private LinkTransport links(InstanceNumber instance, byte[] sharedKey) {
 		InetSocketAddress listen = new InetSocketAddress(this.settings.listenAddress().host(),
 				this.settings.listenAddress().port());
@@ -78,8 +119,9 @@
 				LinkLimits.DEFAULT, this.ticker, this.random);
 	}
 
-	private static ControlHandler controls() {
-		return (request) -> CompletableFuture.completedFuture(ControlResponse.getDefaultInstance());
+	private static ControlHandler controls(OrderService orders) {
+		return (request) -> CompletableFuture
+			.completedFuture(orders.answer(request).orElseGet(ControlResponse::getDefaultInstance));
 	}
 
 	private Decisions decisions() {
