--- a/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
@@ -6,19 +6,25 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.stream.Stream;
 
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.jboss.logging.Logger;
 
 import org.wasabicart.core.model.Execution;
 import org.wasabicart.core.retry.ClientRequestTable;
 import org.wasabicart.node.http.NodeHttpServers;
+import org.wasabicart.node.http.OperatorApi;
 import org.wasabicart.node.http.OperatorPages;
 import org.wasabicart.node.http.PekkoBackendExit;
 import org.wasabicart.node.observe.NodeHealth;
@@ -72,6 +78,8 @@
 
 	private final List<NodeService> services = new ArrayList<>();
 
+	private final List<OperatorApi> paths = new ArrayList<>();
+
 	private final PeerTransportSlot transport = new PeerTransportSlot();
 
 	private final ExecutorTaskScheduler scheduler;
@@ -84,6 +92,8 @@
 
 	private final NodeHealth health;
 
+	private final OperatorPages pages;
+
 	private final ActorSystem system;
 
 	private final LocalAdmission admission;
@@ -106,7 +116,10 @@
 		this.parts = Objects.requireNonNull(parts, "parts");
 		this.scheduler = parts.scheduler();
 		this.health = new NodeHealth(parts);
-		Config configuration = ConfigFactory.parseResources(Node.class, "node.conf").withFallback(ConfigFactory.load());
+		Config configuration = ConfigFactory.defaultOverrides()
+			.withFallback(ConfigFactory.parseResources(Node.class, "node.conf"))
+			.withFallback(ConfigFactory.load())
+			.resolve();
 		this.system = ActorSystem.create("node", configuration);
 		Decisions decisions = parts.decisions();
 		ContextTable contexts = new ContextTable(new SecureRandom(), decisions.allowances(), parts.ticker());
@@ -116,11 +129,25 @@
 		this.serving = servingSide();
 		this.entry = entrySide();
 		registerMetrics();
-		OperatorPages pages = new OperatorPages(this.metrics, this.health,
+		this.pages = new OperatorPages(this.metrics, this.health,
 				new NodeStatus(parts, this.admission, this.thresholds::thresholds));
 		ClientRequestTable requests = new ClientRequestTable(parts.ticker());
 		this.servers = new NodeHttpServers(this.system, parts.ticker(), parts.random(), parts.configuration(),
-				parts.localServer(), contexts, requests, this.entry, pages);
+				parts.localServer(), contexts, requests, this.entry, this::ownPath);
+	}
+
+	private Optional<CompletionStage<HttpResponse>> ownPath(HttpRequest request) {
+		return Stream.concat(this.paths.stream(), Stream.of(this.pages))
+			.flatMap((api) -> api.handle(request).stream())
+			.findFirst();
+	}
+
+	/**
+	 * Adds paths of the node's own. To be invoked before {@link #start()}.
+	 * @param api handles some of the node's own paths
+	 */
+	public void addPaths(OperatorApi api) {
+		this.paths.add(Objects.requireNonNull(api, "api"));
 	}
 
 	private CallHandler servingSide() {
@@ -139,6 +166,8 @@
 		List<RequestFilter> filters = new ArrayList<>();
 		filters.add(new ObservationFilter(this.parts.ticker(), this.metrics, false));
 		filters.add(new DeadlineFilter(this.parts.ticker(), this.scheduler));
+		// Orders come before early refusal: a ticket whose order already ran must not be
+		// answered as not run.
 		filters.addAll(this.parts.entryFilters());
 		filters.add(new EarlyRefusalFilter(this.parts.decisions().earlyRefusal(), this.thresholds));
 		return RequestFilter.chain(filters, last);
--- a/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
@@ -21,14 +21,21 @@
 import org.wasabicart.core.model.ServicePolicy;
 import org.wasabicart.core.model.TenantName;
 import org.wasabicart.core.model.TenantPolicy;
+import org.wasabicart.core.order.ClaimController;
+import org.wasabicart.core.order.TicketLimits;
 import org.wasabicart.core.retry.RetryAllowances;
 import org.wasabicart.core.retry.RetryBudgets;
 import org.wasabicart.core.routing.EarlyRefusals;
 import org.wasabicart.core.routing.RegionLink;
 import org.wasabicart.core.routing.Routers;
+import org.wasabicart.node.http.TicketApi;
 import org.wasabicart.node.link.LinkIdentity;
 import org.wasabicart.node.link.LinkLimits;
 import org.wasabicart.node.link.LinkTransport;
+import org.wasabicart.node.order.KeyClaims;
+import org.wasabicart.node.order.OrderParts;
+import org.wasabicart.node.order.OrderService;
+import org.wasabicart.node.order.StoreKeyClaims;
 import org.wasabicart.node.peer.ControlHandler;
 import org.wasabicart.node.request.ExecutorTaskScheduler;
 import org.wasabicart.node.request.LocalAdmission;
@@ -45,6 +52,11 @@
 
 	private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
 
+	// A part of the several hundred writes per second of the store.
+	private static final double STORE_CLAIMS_PER_SECOND = 200;
+
+	private static final Duration CLAIM_TIMEOUT = Duration.ofMillis(500);
+
 	private final NodeSettings settings;
 
 	private final Ticker ticker = System::nanoTime;
@@ -55,6 +67,10 @@
 
 	private volatile MembershipService membership;
 
+	private final RegionLink regionLink = new RegionLink(this.ticker);
+
+	private KeyClaims claims;
+
 	private NodeAssembly(NodeSettings settings) {
 		this.settings = settings;
 	}
@@ -73,16 +89,26 @@
 		byte[] sharedKey = Files.readAllBytes(this.settings.sharedKeyFile());
 		// A later run of the node has a higher number, as far as the VM's clock allows.
 		InstanceNumber instance = new InstanceNumber(System.currentTimeMillis());
-		NodeParts parts = new NodeParts(this.settings, instance, this.ticker, new ExecutorTaskScheduler(), this.random,
+		NodeParts base = new NodeParts(this.settings, instance, this.ticker, new ExecutorTaskScheduler(), this.random,
 				this.configuration, new LocalServerHolder(this.ticker), decisions(), this::members, List.of(),
 				List.of());
-		Node node = new Node(parts);
 		LinkTransport links = links(instance, sharedKey);
-		node.connect(links);
-		node.addService(new LinkService(links, node.peerHandler(), controls()));
-		this.membership = new MembershipService(parts, sharedKey, node.transport(), store(node),
-				parts.decisions().router()::updateMembers);
+		OrderNodeService orderService = orders(base, links);
+		OrderService orders = orderService.orders();
+		Node node = new Node(base.withFilters(List.of(orders.homeFilter()), List.of(orders.servingFilter())));
+		this.claims = claims(node);
+		this.membership = new MembershipService(base, sharedKey, links, store(node),
+				base.decisions().router()::updateMembers);
+		node.connect(orders.transport());
+		node.addPaths(new TicketApi(orders, this.configuration, this.random));
+		node.addService(orderService);
+		node.addService(new LinkService(links, node.peerHandler(), controls(orders)));
 		node.addService(this.membership);
+		node.metrics()
+			.counter("wasabicart_region_bytes_total", "Bytes that this node sent to and received from other regions",
+					this.regionLink::regionBytes);
+		node.metrics().gauge("wasabicart_link_buffered_bytes", "Bytes of partly received bodies", links::bufferedBytes);
+		node.metrics().gauge("wasabicart_tickets", "Tickets that this node holds", orders::tickets);
 		return node;
 	}
 
@@ -91,6 +117,24 @@
 		return (current != null) ? current.members() : List.of();
 	}
 
+	private OrderNodeService orders(NodeParts base, LinkTransport links) {
+		ExecutorTaskScheduler scheduler = new ExecutorTaskScheduler();
+		OrderParts parts = new OrderParts(this.settings.nodeId(), base.instance(), this.ticker, this.random, scheduler,
+				this::members, base.localServer()::draining, links,
+				(context, key, ticket, members) -> this.claims.claim(context, key, ticket, members), TicketLimits.HOME,
+				TicketLimits.SERVING);
+		return new OrderNodeService(scheduler, parts);
+	}
+
+	private KeyClaims claims(Node node) {
+		if (this.settings.store().isEmpty()) {
+			return (context, key, ticket, members) -> CompletableFuture
+				.failedFuture(new IOException("No store is configured"));
+		}
+		return new StoreKeyClaims(new HttpStoreClient(node.system(), this.settings.store(), CLAIM_TIMEOUT),
+				new ClaimController(STORE_CLAIMS_PER_SECOND, this.ticker), this.ticker);
+	}
+
 	private LinkTransport links(InstanceNumber instance, byte[] sharedKey) {
 		InetSocketAddress listen = new InetSocketAddress(this.settings.listenAddress().host(),
 				this.settings.listenAddress().port());
@@ -105,30 +149,28 @@
 		return Optional.of(new HttpStoreClient(node.system(), this.settings.store(), STORE_TIMEOUT));
 	}
 
-	private ControlHandler controls() {
-		return (request) -> CompletableFuture.completedFuture(control(request));
+	private ControlHandler controls(OrderService orders) {
+		return (request) -> CompletableFuture.completedFuture(control(orders, request));
 	}
 
-	private ControlResponse control(ControlRequest request) {
+	private ControlResponse control(OrderService orders, ControlRequest request) {
 		if (request.getContentCase() == ControlRequest.ContentCase.CONFIGURATION_ABOVE_REVISION) {
 			return this.membership.answer(request);
 		}
-		return ControlResponse.getDefaultInstance();
+		return orders.answer(request).orElseGet(ControlResponse::getDefaultInstance);
 	}
 
 	private Decisions decisions() {
-		RegionLink regionLink = new RegionLink(this.ticker);
 		return switch (this.settings.control()) {
 			case WASABICART -> new Decisions(adaptiveAdmission(),
-					Routers.locality(this.settings.failureDomain(), this.settings.region(), regionLink, this.ticker,
-							this.random),
+					Routers.locality(this.settings.failureDomain(), this.settings.region(), this.regionLink,
+							this.ticker, this.random),
 					EarlyRefusals.learning(
 							(kind) -> this.configuration.current().kind(kind).map(RequestKind::entryService),
 							this.ticker, this.random),
 					RetryAllowances::bounded, (service) -> RetryBudgets.earned(budgetRatio(service)));
-			case FIXED ->
-				baseline((policy) -> AdmissionControllers.fixed(policy, this.ticker, this.random), regionLink);
-			case NONE -> baseline((policy) -> AdmissionControllers.none(this.ticker), regionLink);
+			case FIXED -> baseline((policy) -> AdmissionControllers.fixed(policy, this.ticker, this.random));
+			case NONE -> baseline((policy) -> AdmissionControllers.none(this.ticker));
 		};
 	}
 
@@ -144,8 +186,8 @@
 		return () -> this.configuration.current().service(service).map(ServicePolicy::retryBudgetRatio).orElse(0.0);
 	}
 
-	private Decisions baseline(LocalAdmission.AdmissionFactory admission, RegionLink regionLink) {
-		return new Decisions(admission, Routers.random(this.settings.region(), regionLink, this.random),
+	private Decisions baseline(LocalAdmission.AdmissionFactory admission) {
+		return new Decisions(admission, Routers.random(this.settings.region(), this.regionLink, this.random),
 				EarlyRefusals.none(), RetryAllowances::bounded, (service) -> RetryBudgets.unlimited());
 	}
 
