--- a/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.DoubleSupplier;
@@ -13,6 +14,7 @@
 import org.wasabicart.core.Ticker;
 import org.wasabicart.core.admission.AdmissionControllers;
 import org.wasabicart.core.model.InstanceNumber;
+import org.wasabicart.core.model.Member;
 import org.wasabicart.core.model.RequestKind;
 import org.wasabicart.core.model.ServiceName;
 import org.wasabicart.core.model.ServicePolicy;
@@ -60,6 +62,8 @@
 
 	private KeyClaims claims;
 
+	private volatile MembershipService membership;
+
 	private NodeAssembly(NodeSettings settings) {
 		this.settings = settings;
 	}
@@ -79,10 +83,10 @@
 		// A later run of the node has a higher number, as far as the VM's clock allows.
 		InstanceNumber instance = new InstanceNumber(System.currentTimeMillis());
 		NodeParts base = new NodeParts(this.settings, instance, this.ticker, this.random, this.configuration,
-				new LocalServerHolder(this.ticker), decisions(), List.of(), List.of());
+				new LocalServerHolder(this.ticker), decisions(), this::members, List.of(), List.of());
 		LinkTransport links = links(instance, sharedKey);
-		MembershipService membership = new MembershipService(base, sharedKey, base.decisions().router()::updateMembers);
-		OrderNodeService orderService = orders(base, links, membership);
+		this.membership = new MembershipService(base, sharedKey, base.decisions().router()::updateMembers);
+		OrderNodeService orderService = orders(base, links);
 		OrderService orders = orderService.orders();
 		Node node = new Node(base.withFilters(List.of(orders.homeFilter()), List.of(orders.servingFilter())));
 		this.claims = claims(node);
@@ -90,14 +94,14 @@
 		node.addPaths(new TicketApi(orders, this.configuration, this.random));
 		node.addService(orderService);
 		node.addService(new LinkService(links, node.peerHandler(), controls(orders)));
-		node.addService(membership);
+		node.addService(this.membership);
 		return node;
 	}
 
-	private OrderNodeService orders(NodeParts base, LinkTransport links, MembershipService membership) {
+	private OrderNodeService orders(NodeParts base, LinkTransport links) {
 		ExecutorTaskScheduler scheduler = new ExecutorTaskScheduler();
 		OrderParts parts = new OrderParts(this.settings.nodeId(), base.instance(), this.ticker, this.random, scheduler,
-				membership::members, base.localServer()::draining, links,
+				this::members, base.localServer()::draining, links,
 				(context, key, ticket, members) -> this.claims.claim(context, key, ticket, members), TicketLimits.HOME,
 				TicketLimits.SERVING);
 		return new OrderNodeService(scheduler, parts);
@@ -112,6 +116,11 @@
 				new ClaimController(STORE_CLAIMS_PER_SECOND, this.ticker), this.ticker);
 	}
 
+	private Collection<Member> members() {
+		MembershipService current = this.membership;
+		return (current != null) ? current.members() : List.of();
+	}
+
 	private LinkTransport links(InstanceNumber instance, byte[] sharedKey) {
 		InetSocketAddress listen = new InetSocketAddress(this.settings.listenAddress().host(),
 				this.settings.listenAddress().port());
