--- a/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.DoubleSupplier;
 import java.util.random.RandomGenerator;
@@ -40,6 +41,8 @@
 import org.wasabicart.node.request.LocalAdmission;
 import org.wasabicart.node.settings.NodeSettings;
 import org.wasabicart.store.HttpStoreClient;
+import org.wasabicart.store.StoreClient;
+import org.wasabicart.wire.generated.link.ControlRequest;
 import org.wasabicart.wire.generated.link.ControlResponse;
 
 /**
@@ -50,7 +53,7 @@
 	// A part of the several hundred writes per second of the store.
 	private static final double STORE_CLAIMS_PER_SECOND = 200;
 
-	private static final Duration STORE_TIMEOUT = Duration.ofMillis(500);
+	private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
 
 	private final NodeSettings settings;
 
@@ -60,7 +63,8 @@
 
 	private final ConfigurationHolder configuration = new ConfigurationHolder();
 
-	private KeyClaims claims;
+	private volatile KeyClaims claims = (context, key, ticket, members) -> CompletableFuture
+		.failedFuture(new IOException("No store is configured"));
 
 	private volatile MembershipService membership;
 
@@ -82,38 +86,31 @@
 		byte[] sharedKey = Files.readAllBytes(this.settings.sharedKeyFile());
 		// A later run of the node has a higher number, as far as the VM's clock allows.
 		InstanceNumber instance = new InstanceNumber(System.currentTimeMillis());
-		NodeParts base = new NodeParts(this.settings, instance, this.ticker, this.random, this.configuration,
-				new LocalServerHolder(this.ticker), decisions(), this::members, List.of(), List.of());
+		NodeParts base = new NodeParts(this.settings, instance, this.ticker, new ExecutorTaskScheduler(), this.random,
+				this.configuration, new LocalServerHolder(this.ticker), decisions(), this::members, List.of(),
+				List.of());
 		LinkTransport links = links(instance, sharedKey);
-		this.membership = new MembershipService(base, sharedKey, base.decisions().router()::updateMembers);
-		OrderNodeService orderService = orders(base, links);
+		OrderNodeService orderService = new OrderNodeService(base.scheduler(), orderParts(base, links));
 		OrderService orders = orderService.orders();
 		Node node = new Node(base.withFilters(List.of(orders.homeFilter()), List.of(orders.servingFilter())));
-		this.claims = claims(node);
+		Optional<StoreClient> store = store(node);
+		store.ifPresent((client) -> this.claims = new StoreKeyClaims(client,
+				new ClaimController(STORE_CLAIMS_PER_SECOND, this.ticker), this.ticker));
 		node.connect(orders.transport());
 		node.addPaths(new TicketApi(orders, this.configuration, this.random));
 		node.addService(orderService);
 		node.addService(new LinkService(links, node.peerHandler(), controls(orders)));
+		this.membership = new MembershipService(base, sharedKey, node.transport(), store,
+				base.decisions().router()::updateMembers);
 		node.addService(this.membership);
 		return node;
 	}
 
-	private OrderNodeService orders(NodeParts base, LinkTransport links) {
-		ExecutorTaskScheduler scheduler = new ExecutorTaskScheduler();
-		OrderParts parts = new OrderParts(this.settings.nodeId(), base.instance(), this.ticker, this.random, scheduler,
+	private OrderParts orderParts(NodeParts base, LinkTransport links) {
+		return new OrderParts(this.settings.nodeId(), base.instance(), this.ticker, this.random, base.scheduler(),
 				this::members, base.localServer()::draining, links,
 				(context, key, ticket, members) -> this.claims.claim(context, key, ticket, members), TicketLimits.HOME,
 				TicketLimits.SERVING);
-		return new OrderNodeService(scheduler, parts);
-	}
-
-	private KeyClaims claims(Node node) {
-		if (this.settings.store().isEmpty()) {
-			return (context, key, ticket, members) -> CompletableFuture
-				.failedFuture(new IOException("No store is configured"));
-		}
-		return new StoreKeyClaims(new HttpStoreClient(node.system(), this.settings.store(), STORE_TIMEOUT),
-				new ClaimController(STORE_CLAIMS_PER_SECOND, this.ticker), this.ticker);
 	}
 
 	private Collection<Member> members() {
@@ -128,9 +125,22 @@
 				LinkLimits.DEFAULT, this.ticker, this.random);
 	}
 
-	private static ControlHandler controls(OrderService orders) {
-		return (request) -> CompletableFuture
-			.completedFuture(orders.answer(request).orElseGet(ControlResponse::getDefaultInstance));
+	private Optional<StoreClient> store(Node node) {
+		if (this.settings.store().isEmpty()) {
+			return Optional.empty();
+		}
+		return Optional.of(new HttpStoreClient(node.system(), this.settings.store(), STORE_TIMEOUT));
+	}
+
+	private ControlHandler controls(OrderService orders) {
+		return (request) -> CompletableFuture.completedFuture(orders.answer(request).orElseGet(() -> control(request)));
+	}
+
+	private ControlResponse control(ControlRequest request) {
+		if (request.getContentCase() == ControlRequest.ContentCase.CONFIGURATION_ABOVE_REVISION) {
+			return this.membership.answer(request);
+		}
+		return ControlResponse.getDefaultInstance();
 	}
 
 	private Decisions decisions() {
--- a/wasabicart-node/src/main/java/org/wasabicart/node/OrderNodeService.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/OrderNodeService.java
@@ -19,7 +19,7 @@
 
 	/**
 	 * Creates the service.
-	 * @param scheduler scheduler that the parts use; closed with this service
+	 * @param scheduler the node's scheduler, which ends with the node
 	 * @param parts dependencies of orders
 	 */
 	OrderNodeService(ExecutorTaskScheduler scheduler, OrderParts parts) {
@@ -38,7 +38,7 @@
 
 	@Override
 	public void close() {
-		this.scheduler.close();
+		// The timer ends with the node's scheduler.
 	}
 
 }
