--- a/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
@@ -118,12 +118,11 @@
 	}
 
 	private OrderNodeService orders(NodeParts base, LinkTransport links) {
-		ExecutorTaskScheduler scheduler = new ExecutorTaskScheduler();
-		OrderParts parts = new OrderParts(this.settings.nodeId(), base.instance(), this.ticker, this.random, scheduler,
-				this::members, base.localServer()::draining, links,
+		OrderParts parts = new OrderParts(this.settings.nodeId(), base.instance(), this.ticker, this.random,
+				base.scheduler(), this::members, base.localServer()::draining, links,
 				(context, key, ticket, members) -> this.claims.claim(context, key, ticket, members), TicketLimits.HOME,
 				TicketLimits.SERVING);
-		return new OrderNodeService(scheduler, parts);
+		return new OrderNodeService(base.scheduler(), parts);
 	}
 
 	private KeyClaims claims(Node node) {
