Let responses leave the process before links close at a stop

A request counted as done once its response was handed to the link or the HTTP server, and the links could close before the bytes were sent. The node now waits until it has had no work for 0.3 s, within the grace time. The tests of the request path pass, among them the stop with a request in progress.

--- a/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
@@ -72,6 +72,12 @@
 	 */
 	private static final Duration DRAINING_NOTICE = Duration.ofMillis(500);
 
+	/**
+	 * Time without work before the links and connections close. Responses that were
+	 * handed to them may still be on their way.
+	 */
+	private static final Duration SETTLING = Duration.ofMillis(300);
+
 	private static final long DRAINING_POLL_MILLISECONDS = 20;
 
 	private static final long TERMINATION_SECONDS = 3;
@@ -312,7 +318,8 @@
 		long grace = this.parts.settings().grace().toNanos();
 		long notice = Math.min(grace, DRAINING_NOTICE.toNanos());
 		long elapsed = 0;
-		while (elapsed < notice || (elapsed < grace && running() > 0)) {
+		long idleSince = 0;
+		while (elapsed < notice || (elapsed < grace && elapsed - idleSince < SETTLING.toNanos())) {
 			try {
 				Thread.sleep(DRAINING_POLL_MILLISECONDS);
 			}
@@ -321,6 +328,7 @@
 				return;
 			}
 			elapsed = this.parts.ticker().nanoseconds() - start;
+			idleSince = (running() > 0) ? elapsed : idleSince;
 		}
 		LOGGER.infof("event=drained running=%d milliseconds=%d", running(), TimeUnit.NANOSECONDS.toMillis(elapsed));
 	}
