Free the slot of a backend run that is cancelled during a nested call

Cause: cancelling a nested call ended the run a second time from within, the list of its activities changed while it was walked, and the slot was never freed. In a demonstration 24 of 24 slots of both stores servers were lost, and goodput stayed at zero after the surge. Change: the list is copied before its activities are cancelled; a run also ends at its deadline. Measured: two new tests, one for a cancelled run with two nested calls and one for a nested call that is never answered; all tests of both modules pass.

--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/demo/DemoReport.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/demo/DemoReport.java
@@ -67,6 +67,7 @@
 		report.put("capacityDuringSurge", round(this.plan.capacity() / DemoExperiment.SLOW_FACTOR));
 		report.set("refusedByImportance", byImportance(surge, true));
 		report.set("goodputByImportance", byImportance(surge, false));
+		report.set("outcomes", this.callers.outcomes());
 		return report;
 	}
 
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/figures/CallerFigures.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/figures/CallerFigures.java
@@ -8,9 +8,12 @@
 import java.util.TreeMap;
 import java.util.function.Predicate;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.HdrHistogram.Histogram;
 
 import org.wasabicart.experiment.harness.DeploymentPlan;
+import org.wasabicart.standin.caller.CallerOutcome;
 import org.wasabicart.standin.caller.CallerRecord;
 import org.wasabicart.standin.caller.LoadResult;
 
@@ -209,6 +212,29 @@
 		return histogram;
 	}
 
+	/**
+	 * Returns the number of requests by outcome, and of those without an answer by the
+	 * last response's execution and reason.
+	 * @return the counts
+	 */
+	public ObjectNode outcomes() {
+		ObjectNode json = JsonNodeFactory.instance.objectNode();
+		for (CallerOutcome outcome : CallerOutcome.values()) {
+			long count = this.result.records().stream().filter((record) -> record.outcome() == outcome).count();
+			if (count > 0) {
+				json.put(outcome.code(), count);
+			}
+		}
+		Map<String, Long> reasons = new TreeMap<>();
+		this.result.records()
+			.stream()
+			.filter((record) -> record.outcome() != CallerOutcome.COMPLETED && !record.reason().isEmpty())
+			.forEach((record) -> reasons.merge(record.execution() + " " + record.reason(), 1L, Long::sum));
+		ObjectNode byReason = json.putObject("lastReasons");
+		reasons.forEach(byReason::put);
+		return json;
+	}
+
 	/**
 	 * Requests of one importance.
 	 *
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/overload/OverloadReport.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/overload/OverloadReport.java
@@ -1,9 +1,7 @@
 package org.wasabicart.experiment.overload;
 
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalDouble;
-import java.util.TreeMap;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -15,7 +13,6 @@
 import org.wasabicart.experiment.harness.DeploymentPlan;
 import org.wasabicart.experiment.harness.KindModel;
 import org.wasabicart.experiment.harness.ServiceModel;
-import org.wasabicart.standin.caller.CallerOutcome;
 import org.wasabicart.standin.caller.CallerRecord;
 import org.wasabicart.standin.caller.LoadResult;
 
@@ -76,7 +73,7 @@
 				round(this.callers.addedLatency(this.scenario.before(), this.runs.serviceMicroseconds())
 					.getValueAtPercentile(P99) / MICROSECONDS_PER_MILLISECOND));
 		report.put("goodputBefore", round(this.callers.goodput(this.scenario.before())));
-		report.set("outcomes", outcomes());
+		report.set("outcomes", this.callers.outcomes());
 		report.put("generatorLagMilliseconds", round(this.result.maximumLagNanoseconds() / 1e6));
 		return report;
 	}
@@ -124,24 +121,6 @@
 		return calls;
 	}
 
-	private ObjectNode outcomes() {
-		ObjectNode json = JsonNodeFactory.instance.objectNode();
-		for (CallerOutcome outcome : CallerOutcome.values()) {
-			long count = this.result.records().stream().filter((record) -> record.outcome() == outcome).count();
-			if (count > 0) {
-				json.put(outcome.code(), count);
-			}
-		}
-		Map<String, Long> reasons = new TreeMap<>();
-		this.result.records()
-			.stream()
-			.filter((record) -> record.outcome() != CallerOutcome.COMPLETED && !record.reason().isEmpty())
-			.forEach((record) -> reasons.merge(record.execution() + " " + record.reason(), 1L, Long::sum));
-		ObjectNode byReason = json.putObject("lastReasons");
-		reasons.forEach(byReason::put);
-		return json;
-	}
-
 	private static double round(double value) {
 		return Math.round(value * 1000) / 1000.0;
 	}
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendServer.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendServer.java
@@ -16,6 +16,7 @@
 import org.apache.pekko.http.javadsl.model.StatusCodes;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.apache.pekko.stream.SystemMaterializer;
+import org.jboss.logging.Logger;
 
 import org.wasabicart.standin.http.Addresses;
 import org.wasabicart.standin.http.Answers;
@@ -28,6 +29,8 @@
  */
 public final class BackendServer implements AutoCloseable {
 
+	private static final Logger LOGGER = Logger.getLogger(BackendServer.class);
+
 	private static final AtomicLong RUNS = new AtomicLong();
 
 	private static final int READ_TIMEOUT_MILLISECONDS = 10_000;
@@ -185,6 +188,9 @@
 			this.queue.release();
 			return;
 		}
+		// A nested call whose response never ends must not hold the slot for ever.
+		run.add(this.environment.timer()
+			.schedule(() -> finish(run, "deadline"), run.request().remainingMilliseconds(), TimeUnit.MILLISECONDS));
 		if (microseconds == 0) {
 			callOthers(run);
 			return;
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/Run.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/Run.java
@@ -98,8 +98,10 @@
 	synchronized State end() {
 		State before = this.state;
 		this.state = State.ENDED;
-		this.activities.forEach((activity) -> activity.cancel(true));
+		// Cancelling a nested call completes it, which ends the run again from within.
+		List<Future<?>> ended = List.copyOf(this.activities);
 		this.activities.clear();
+		ended.forEach((activity) -> activity.cancel(true));
 		return before;
 	}
 
--- a/wasabicart-standin/src/test/java/org/wasabicart/standin/backend/BackendServerTests.java
+++ b/wasabicart-standin/src/test/java/org/wasabicart/standin/backend/BackendServerTests.java
@@ -107,6 +107,30 @@
 		assertThat(history().stream().anyMatch((line) -> line.contains("\"path\":\"/quoting/a\""))).isTrue();
 	}
 
+	@Test
+	void freesTheSlotWhenARunIsCancelledDuringItsNestedCalls() throws Exception {
+		BackendServer deeper = server(4, 8, LONG_SERVICE_MILLISECONDS, "", "");
+		BackendServer server = server(1, 2, 1, "http://127.0.0.1:" + deeper.address().getPort(), "quoting+stores");
+		CompletableFuture<HttpResponse<byte[]>> call = send(server, "/a", "root-1");
+		awaitLine("\"path\":\"/quoting/a\"");
+		awaitLine("\"path\":\"/stores/a\"");
+		call.cancel(true);
+		for (int poll = 0; poll < POLLS && !server.idle(); poll++) {
+			Thread.sleep(20);
+		}
+		assertThat(server.idle()).isTrue();
+	}
+
+	@Test
+	void freesTheSlotAtAtTheDeadlineWhenANestedCallIsNeverAnswered() throws Exception {
+		BackendServer deeper = server(2, 4, 1, "", "");
+		deeper.faults(new BackendFaults(1, 0, 0, true, "actual", -1, 0));
+		BackendServer server = server(1, 4, 1, "http://127.0.0.1:" + deeper.address().getPort(), "quoting");
+		HttpRequest request = request(server, "/a", "root-1").header("Wasabicart-Deadline-Milliseconds", "200").build();
+		assertThat(this.client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode()).isEqualTo(502);
+		assertThat(server.idle()).isTrue();
+	}
+
 	@Test
 	void drainsWithoutInterruptingARun() throws Exception {
 		BackendServer server = server(1, 2, 200, "", "");
