--- a/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/Node.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.stream.Stream;
 
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
@@ -91,6 +92,8 @@
 
 	private final NodeHealth health;
 
+	private final OperatorPages pages;
+
 	private final ActorSystem system;
 
 	private final LocalAdmission admission;
@@ -113,7 +116,10 @@
 		this.parts = Objects.requireNonNull(parts, "parts");
 		this.scheduler = parts.scheduler();
 		this.health = new NodeHealth(parts);
-		Config configuration = ConfigFactory.parseResources(Node.class, "node.conf").withFallback(ConfigFactory.load());
+		Config configuration = ConfigFactory.defaultOverrides()
+			.withFallback(ConfigFactory.parseResources(Node.class, "node.conf"))
+			.withFallback(ConfigFactory.load())
+			.resolve();
 		this.system = ActorSystem.create("node", configuration);
 		Decisions decisions = parts.decisions();
 		ContextTable contexts = new ContextTable(new SecureRandom(), decisions.allowances(), parts.ticker());
@@ -123,18 +129,17 @@
 		this.serving = servingSide();
 		this.entry = entrySide();
 		registerMetrics();
-		OperatorPages pages = new OperatorPages(this.metrics, this.health,
+		this.pages = new OperatorPages(this.metrics, this.health,
 				new NodeStatus(parts, this.admission, this.thresholds::thresholds));
 		ClientRequestTable requests = new ClientRequestTable(parts.ticker());
 		this.servers = new NodeHttpServers(this.system, parts.ticker(), parts.random(), parts.configuration(),
-				parts.localServer(), contexts, requests, this.entry, (request) -> ownPath(pages, request));
+				parts.localServer(), contexts, requests, this.entry, this::ownPath);
 	}
 
-	private Optional<CompletionStage<HttpResponse>> ownPath(OperatorApi pages, HttpRequest request) {
-		return this.paths.stream()
+	private Optional<CompletionStage<HttpResponse>> ownPath(HttpRequest request) {
+		return Stream.concat(this.paths.stream(), Stream.of(this.pages))
 			.flatMap((api) -> api.handle(request).stream())
-			.findFirst()
-			.or(() -> pages.handle(request));
+			.findFirst();
 	}
 
 	/**
--- a/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
@@ -50,10 +50,12 @@
  */
 final class NodeAssembly {
 
+	private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
+
 	// A part of the several hundred writes per second of the store.
 	private static final double STORE_CLAIMS_PER_SECOND = 200;
 
-	private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
+	private static final Duration CLAIM_TIMEOUT = Duration.ofMillis(500);
 
 	private final NodeSettings settings;
 
@@ -63,11 +65,12 @@
 
 	private final ConfigurationHolder configuration = new ConfigurationHolder();
 
-	private volatile KeyClaims claims = (context, key, ticket, members) -> CompletableFuture
-		.failedFuture(new IOException("No store is configured"));
-
 	private volatile MembershipService membership;
 
+	private final RegionLink regionLink = new RegionLink(this.ticker);
+
+	private KeyClaims claims;
+
 	private NodeAssembly(NodeSettings settings) {
 		this.settings = settings;
 	}
@@ -90,32 +93,45 @@
 				this.configuration, new LocalServerHolder(this.ticker), decisions(), this::members, List.of(),
 				List.of());
 		LinkTransport links = links(instance, sharedKey);
-		OrderNodeService orderService = new OrderNodeService(base.scheduler(), orderParts(base, links));
+		OrderNodeService orderService = orders(base, links);
 		OrderService orders = orderService.orders();
 		Node node = new Node(base.withFilters(List.of(orders.homeFilter()), List.of(orders.servingFilter())));
-		Optional<StoreClient> store = store(node);
-		store.ifPresent((client) -> this.claims = new StoreKeyClaims(client,
-				new ClaimController(STORE_CLAIMS_PER_SECOND, this.ticker), this.ticker));
+		this.claims = claims(node);
+		this.membership = new MembershipService(base, sharedKey, links, store(node),
+				base.decisions().router()::updateMembers);
 		node.connect(orders.transport());
 		node.addPaths(new TicketApi(orders, this.configuration, this.random));
 		node.addService(orderService);
 		node.addService(new LinkService(links, node.peerHandler(), controls(orders)));
-		this.membership = new MembershipService(base, sharedKey, node.transport(), store,
-				base.decisions().router()::updateMembers);
 		node.addService(this.membership);
+		node.metrics()
+			.counter("wasabicart_region_bytes_total", "Bytes that this node sent to and received from other regions",
+					this.regionLink::regionBytes);
+		node.metrics().gauge("wasabicart_link_buffered_bytes", "Bytes of partly received bodies", links::bufferedBytes);
+		node.metrics().gauge("wasabicart_tickets", "Tickets that this node holds", orders::tickets);
 		return node;
 	}
 
-	private OrderParts orderParts(NodeParts base, LinkTransport links) {
-		return new OrderParts(this.settings.nodeId(), base.instance(), this.ticker, this.random, base.scheduler(),
-				this::members, base.localServer()::draining, links,
+	private Collection<Member> members() {
+		MembershipService current = this.membership;
+		return (current != null) ? current.members() : List.of();
+	}
+
+	private OrderNodeService orders(NodeParts base, LinkTransport links) {
+		OrderParts parts = new OrderParts(this.settings.nodeId(), base.instance(), this.ticker, this.random,
+				base.scheduler(), this::members, base.localServer()::draining, links,
 				(context, key, ticket, members) -> this.claims.claim(context, key, ticket, members), TicketLimits.HOME,
 				TicketLimits.SERVING);
+		return new OrderNodeService(base.scheduler(), parts);
 	}
 
-	private Collection<Member> members() {
-		MembershipService current = this.membership;
-		return (current != null) ? current.members() : List.of();
+	private KeyClaims claims(Node node) {
+		if (this.settings.store().isEmpty()) {
+			return (context, key, ticket, members) -> CompletableFuture
+				.failedFuture(new IOException("No store is configured"));
+		}
+		return new StoreKeyClaims(new HttpStoreClient(node.system(), this.settings.store(), CLAIM_TIMEOUT),
+				new ClaimController(STORE_CLAIMS_PER_SECOND, this.ticker), this.ticker);
 	}
 
 	private LinkTransport links(InstanceNumber instance, byte[] sharedKey) {
@@ -133,29 +149,27 @@
 	}
 
 	private ControlHandler controls(OrderService orders) {
-		return (request) -> CompletableFuture.completedFuture(orders.answer(request).orElseGet(() -> control(request)));
+		return (request) -> CompletableFuture.completedFuture(control(orders, request));
 	}
 
-	private ControlResponse control(ControlRequest request) {
+	private ControlResponse control(OrderService orders, ControlRequest request) {
 		if (request.getContentCase() == ControlRequest.ContentCase.CONFIGURATION_ABOVE_REVISION) {
 			return this.membership.answer(request);
 		}
-		return ControlResponse.getDefaultInstance();
+		return orders.answer(request).orElseGet(ControlResponse::getDefaultInstance);
 	}
 
 	private Decisions decisions() {
-		RegionLink regionLink = new RegionLink(this.ticker);
 		return switch (this.settings.control()) {
 			case WASABICART -> new Decisions(adaptiveAdmission(),
-					Routers.locality(this.settings.failureDomain(), this.settings.region(), regionLink, this.ticker,
-							this.random),
+					Routers.locality(this.settings.failureDomain(), this.settings.region(), this.regionLink,
+							this.ticker, this.random),
 					EarlyRefusals.learning(
 							(kind) -> this.configuration.current().kind(kind).map(RequestKind::entryService),
 							this.ticker, this.random),
 					RetryAllowances::bounded, (service) -> RetryBudgets.earned(budgetRatio(service)));
-			case FIXED ->
-				baseline((policy) -> AdmissionControllers.fixed(policy, this.ticker, this.random), regionLink);
-			case NONE -> baseline((policy) -> AdmissionControllers.none(this.ticker), regionLink);
+			case FIXED -> baseline((policy) -> AdmissionControllers.fixed(policy, this.ticker, this.random));
+			case NONE -> baseline((policy) -> AdmissionControllers.none(this.ticker));
 		};
 	}
 
@@ -171,8 +185,8 @@
 		return () -> this.configuration.current().service(service).map(ServicePolicy::retryBudgetRatio).orElse(0.0);
 	}
 
-	private Decisions baseline(LocalAdmission.AdmissionFactory admission, RegionLink regionLink) {
-		return new Decisions(admission, Routers.random(this.settings.region(), regionLink, this.random),
+	private Decisions baseline(LocalAdmission.AdmissionFactory admission) {
+		return new Decisions(admission, Routers.random(this.settings.region(), this.regionLink, this.random),
 				EarlyRefusals.none(), RetryAllowances::bounded, (service) -> RetryBudgets.unlimited());
 	}
 
