--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
@@ -11,8 +11,10 @@
 import org.wasabicart.experiment.demo.DemoExperiment;
 import org.wasabicart.experiment.latency.LatencyExperiment;
 import org.wasabicart.experiment.membership.ConfigurationExperiment;
+import org.wasabicart.experiment.membership.DrainExperiment;
 import org.wasabicart.experiment.membership.MembershipExperiment;
 import org.wasabicart.experiment.membership.MembershipFaultsExperiment;
+import org.wasabicart.experiment.orders.OrdersExperiment;
 import org.wasabicart.experiment.overload.OverloadExperiment;
 
 /**
@@ -43,9 +45,11 @@
 		experiments.add(new DemoExperiment());
 		experiments.add(new LatencyExperiment());
 		experiments.addAll(OverloadExperiment.all());
+		experiments.add(new OrdersExperiment());
 		experiments.add(new MembershipExperiment());
 		experiments.add(new MembershipFaultsExperiment());
 		experiments.add(new ConfigurationExperiment());
+		experiments.add(new DrainExperiment());
 		return new ExperimentRegistry(experiments);
 	}
 
