Configure the latency experiment's plan and mark missing answers

Cause: a plan without retry allowance was refused by the configuration checks, because the default allowance exceeds the maximum of 0; and without answers through the nodes the added latency was reported as negative. Change: the plan's default allowance is 0; figures without answers are null; the outcomes through the nodes and the requests sent are in the report. Tests of both modules pass.

--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/ConfigurationWriter.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/harness/ConfigurationWriter.java
@@ -20,6 +20,9 @@
 
 	private static final double RETRY_BUDGET_RATIO = 0.1;
 
+	// Requests of kinds without a limit of their own; no plan has any.
+	private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(1);
+
 	private final DeploymentPlan plan;
 
 	/**
@@ -78,6 +81,7 @@
 			maximumAllowance = Math.max(maximumAllowance, kind.retryAllowance());
 		}
 		operations.maximumRetryAllowance(maximumAllowance);
+		operations.defaultLimit(DEFAULT_DEADLINE, 0);
 		this.plan.domains().forEach((domain) -> operations.failureDomain(domain.name(), domain.region()));
 		operations.network(new NetworkDeclaration(this.plan.regionMegabits(), delay(this.plan.domainMilliseconds()),
 				delay(this.plan.regionMilliseconds()), Duration.ofMillis(1)));
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/latency/LatencyExperiment.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/latency/LatencyExperiment.java
@@ -16,6 +16,7 @@
 
 import org.wasabicart.experiment.Experiment;
 import org.wasabicart.experiment.ExperimentArguments;
+import org.wasabicart.experiment.figures.CallerFigures;
 import org.wasabicart.experiment.harness.AddressPlan;
 import org.wasabicart.experiment.harness.ControlMode;
 import org.wasabicart.experiment.harness.DeployedNode;
@@ -92,19 +93,19 @@
 			report.put("controlCoreShare", round(mean(ProcessUse.coreShares(nodes, IDLE_INTERVAL))));
 			report.put("residentMegabytesIdle", round(Collections.max(ProcessUse.residentMegabytes(nodes))));
 			DeployedNode entry = deployment.nodes(ChainPlan.ENTRY_SERVICE).get(0);
-			report.set("oneHop", compare(ChainPlan.HOP_KIND, entry.httpUrl(), direct.lastUrl(), arguments));
-			report.set("chain", compare(ChainPlan.CHAIN_KIND, entry.httpUrl(), direct.chainUrl(), arguments));
+			report.set("oneHop", compare(plan, ChainPlan.HOP_KIND, entry.httpUrl(), direct.lastUrl(), arguments));
+			report.set("chain", compare(plan, ChainPlan.CHAIN_KIND, entry.httpUrl(), direct.chainUrl(), arguments));
 			report.put("residentMegabytes", round(Collections.max(ProcessUse.residentMegabytes(nodes))));
 			report.put("chainDepth", depth);
-			report.put("addedMedianMilliseconds", report.path("oneHop").path("addedMedianMilliseconds").asDouble());
-			report.put("addedP99Milliseconds", report.path("oneHop").path("addedP99Milliseconds").asDouble());
+			report.set("addedMedianMilliseconds", report.path("oneHop").path("addedMedianMilliseconds"));
+			report.set("addedP99Milliseconds", report.path("oneHop").path("addedP99Milliseconds"));
 		}
 		arguments.output().println(report);
 		return report;
 	}
 
-	private static ObjectNode compare(String kind, String nodeUrl, String directUrl, ExperimentArguments arguments)
-			throws Exception {
+	private static ObjectNode compare(DeploymentPlan plan, String kind, String nodeUrl, String directUrl,
+			ExperimentArguments arguments) throws Exception {
 		double rate = arguments.decimal("rate");
 		double seconds = arguments.decimal("seconds");
 		load(kind, nodeUrl, directUrl, rate, WARM_UP_SECONDS, arguments.seed());
@@ -112,15 +113,24 @@
 		Histogram through = results.get(0).latencies(kind);
 		Histogram direct = results.get(1).latencies(kind);
 		ObjectNode figures = JsonNodeFactory.instance.objectNode();
-		figures.put("addedMedianMilliseconds", milliseconds(through, MEDIAN) - milliseconds(direct, MEDIAN));
-		figures.put("addedP99Milliseconds", milliseconds(through, P99) - milliseconds(direct, P99));
+		boolean comparable = through.getTotalCount() > 0 && direct.getTotalCount() > 0;
+		if (comparable) {
+			figures.put("addedMedianMilliseconds", round(milliseconds(through, MEDIAN) - milliseconds(direct, MEDIAN)));
+			figures.put("addedP99Milliseconds", round(milliseconds(through, P99) - milliseconds(direct, P99)));
+		}
+		else {
+			figures.putNull("addedMedianMilliseconds");
+			figures.putNull("addedP99Milliseconds");
+		}
 		figures.put("throughNodesMedianMilliseconds", milliseconds(through, MEDIAN));
 		figures.put("throughNodesP99Milliseconds", milliseconds(through, P99));
 		figures.put("directMedianMilliseconds", milliseconds(direct, MEDIAN));
 		figures.put("directP99Milliseconds", milliseconds(direct, P99));
 		figures.put("answeredThroughNodes", through.getTotalCount());
 		figures.put("answeredDirect", direct.getTotalCount());
-		figures.put("sent", results.get(0).records().size());
+		figures.put("sentThroughNodes", results.get(0).records().size());
+		figures.put("sentDirect", results.get(1).records().size());
+		figures.set("outcomesThroughNodes", new CallerFigures(plan, results.get(0)).outcomes());
 		figures.put("generatorLagMilliseconds",
 				round(results.get(0).maximumLagNanoseconds() / NANOSECONDS_PER_MILLISECOND));
 		return figures;
