--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
@@ -14,6 +14,7 @@
 import org.wasabicart.experiment.membership.DrainExperiment;
 import org.wasabicart.experiment.membership.MembershipExperiment;
 import org.wasabicart.experiment.membership.MembershipFaultsExperiment;
+import org.wasabicart.experiment.orders.OrdersExperiment;
 import org.wasabicart.experiment.overload.OverloadExperiment;
 
 /**
@@ -44,6 +45,7 @@
 		experiments.add(new DemoExperiment());
 		experiments.add(new LatencyExperiment());
 		experiments.addAll(OverloadExperiment.all());
+		experiments.add(new OrdersExperiment());
 		experiments.add(new MembershipExperiment());
 		experiments.add(new MembershipFaultsExperiment());
 		experiments.add(new ConfigurationExperiment());
