--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
@@ -10,6 +10,7 @@
 
 import org.wasabicart.experiment.demo.DemoExperiment;
 import org.wasabicart.experiment.latency.LatencyExperiment;
+import org.wasabicart.experiment.link.SilentExperiment;
 import org.wasabicart.experiment.membership.ConfigurationExperiment;
 import org.wasabicart.experiment.membership.DrainExperiment;
 import org.wasabicart.experiment.membership.MembershipExperiment;
@@ -46,6 +47,7 @@
 		experiments.add(new LatencyExperiment());
 		experiments.addAll(OverloadExperiment.all());
 		experiments.add(new OrdersExperiment());
+		experiments.add(new SilentExperiment());
 		experiments.add(new MembershipExperiment());
 		experiments.add(new MembershipFaultsExperiment());
 		experiments.add(new ConfigurationExperiment());
--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/link/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Experiment on connections that go silent.
+ */
+package org.wasabicart.experiment.link;
