Add the node path that counts where a revision is in force

The revisions of other nodes in a member view lag, since a change of the revision alone is not disseminated as a record. A count over the view is therefore not the number of nodes on which a revision is in force.

GET /wasabicart/in-force?revision=N asks every member for its revision over a link, with at most 32 requests at a time and a timeout of 1 s each. A member that does not respond is listed and does not count. Concurrent counts share one round, so the bound holds for the node.

Conclusion: the count comes from the members' own answers. A node of an earlier version does not know the query and counts as not in force.

--- a/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/NodeAssembly.java
@@ -28,10 +28,12 @@
 import org.wasabicart.core.routing.EarlyRefusals;
 import org.wasabicart.core.routing.RegionLink;
 import org.wasabicart.core.routing.Routers;
+import org.wasabicart.node.http.InForceApi;
 import org.wasabicart.node.http.TicketApi;
 import org.wasabicart.node.link.LinkIdentity;
 import org.wasabicart.node.link.LinkLimits;
 import org.wasabicart.node.link.LinkTransport;
+import org.wasabicart.node.observe.InForceSurvey;
 import org.wasabicart.node.order.KeyClaims;
 import org.wasabicart.node.order.OrderParts;
 import org.wasabicart.node.order.OrderService;
@@ -101,6 +103,8 @@
 				base.decisions().router()::updateMembers);
 		node.connect(orders.transport());
 		node.addPaths(new TicketApi(orders, this.configuration, this.random));
+		node.addPaths(
+				new InForceApi(new InForceSurvey(this.settings.nodeId(), this.configuration, this::members, links)));
 		node.addService(orderService);
 		node.addService(new LinkService(links, node.peerHandler(), controls(orders)));
 		node.addService(this.membership);
@@ -153,10 +157,13 @@
 	}
 
 	private ControlResponse control(OrderService orders, ControlRequest request) {
-		if (request.getContentCase() == ControlRequest.ContentCase.CONFIGURATION_ABOVE_REVISION) {
-			return this.membership.answer(request);
-		}
-		return orders.answer(request).orElseGet(ControlResponse::getDefaultInstance);
+		return switch (request.getContentCase()) {
+			case CONFIGURATION_ABOVE_REVISION -> this.membership.answer(request);
+			case REVISION_QUERY -> ControlResponse.newBuilder()
+				.setRevisionInForce(this.configuration.current().revision().value())
+				.build();
+			default -> orders.answer(request).orElseGet(ControlResponse::getDefaultInstance);
+		};
 	}
 
 	private Decisions decisions() {
--- /dev/null
+++ b/wasabicart-node/src/test/java/org/wasabicart/node/http/InForceApiTests.java
@@ -0,0 +1,171 @@
+package org.wasabicart.node.http;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.junit.jupiter.api.Test;
+
+import org.wasabicart.core.model.ConfigurationSnapshot;
+import org.wasabicart.core.model.FailureDomain;
+import org.wasabicart.core.model.InstanceNumber;
+import org.wasabicart.core.model.Member;
+import org.wasabicart.core.model.MemberState;
+import org.wasabicart.core.model.NodeAddress;
+import org.wasabicart.core.model.NodeId;
+import org.wasabicart.core.model.RegionName;
+import org.wasabicart.core.model.Revision;
+import org.wasabicart.core.model.ServiceName;
+import org.wasabicart.node.ConfigurationHolder;
+import org.wasabicart.node.observe.InForceSurvey;
+import org.wasabicart.node.peer.CallRequest;
+import org.wasabicart.node.peer.PeerCall;
+import org.wasabicart.node.peer.PeerCallListener;
+import org.wasabicart.node.peer.PeerTransport;
+import org.wasabicart.wire.generated.link.ControlRequest;
+import org.wasabicart.wire.generated.link.ControlResponse;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against counts that repeat the lagging member view or count nodes that did not
+ * respond.
+ */
+class InForceApiTests {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	// The view's revision is behind on purpose: only the nodes' own answers may count.
+	private static final Revision VIEW_REVISION = new Revision(1);
+
+	private final FakeTransport transport = new FakeTransport();
+
+	private final List<Member> members = new ArrayList<>();
+
+	private final InForceApi api;
+
+	InForceApiTests() {
+		ConfigurationHolder configuration = new ConfigurationHolder();
+		configuration.adopt(new ConfigurationSnapshot(new Revision(7), List.of(), List.of(), List.of(), Map.of()));
+		this.api = new InForceApi(
+				new InForceSurvey(new NodeId("n0"), configuration, () -> List.copyOf(this.members), this.transport));
+		addMembers(3);
+	}
+
+	private void addMembers(int number) {
+		for (int index = this.members.size(); index < number; index++) {
+			this.members.add(new Member(new NodeId("n" + index), new InstanceNumber(1), new ServiceName("stores"),
+					new FailureDomain("a"), new RegionName("r"), address(index), MemberState.SERVING, 1,
+					VIEW_REVISION));
+		}
+	}
+
+	private static NodeAddress address(int index) {
+		return new NodeAddress("127.0.0.1", 7000 + index);
+	}
+
+	@Test
+	void allMembersInForceAreCounted() throws Exception {
+		this.transport.revisions.putAll(Map.of(address(1), 7L, address(2), 8L));
+		assertThat(body()).isEqualTo(MAPPER.readTree("{\"revision\":7,\"nodes\":3,\"inForce\":3,\"unreachable\":[]}"));
+		assertThat(this.transport.timeouts).containsOnly(Duration.ofSeconds(1)).hasSize(2);
+	}
+
+	@Test
+	void memberThatIsBehindIsNotCounted() throws Exception {
+		this.transport.revisions.putAll(Map.of(address(1), 7L, address(2), 6L));
+		assertThat(body()).isEqualTo(MAPPER.readTree("{\"revision\":7,\"nodes\":3,\"inForce\":2,\"unreachable\":[]}"));
+	}
+
+	@Test
+	void unreachableMemberIsNamedAndNotCounted() throws Exception {
+		this.transport.revisions.put(address(1), 7L);
+		assertThat(body())
+			.isEqualTo(MAPPER.readTree("{\"revision\":7,\"nodes\":3,\"inForce\":2,\"unreachable\":[\"n2\"]}"));
+	}
+
+	@Test
+	void atMostThirtyTwoRequestsWaitAlsoWithConcurrentCounts() throws Exception {
+		addMembers(101);
+		this.transport.held = new ArrayDeque<>();
+		CompletableFuture<HttpResponse> first = get("revision=7").toCompletableFuture();
+		CompletableFuture<HttpResponse> second = get("revision=8").toCompletableFuture();
+		int asked = 0;
+		while (!this.transport.held.isEmpty()) {
+			assertThat(this.transport.held).hasSizeLessThanOrEqualTo(32);
+			this.transport.held.remove()
+				.complete(ControlResponse.newBuilder().setRevisionInForce((asked < 40) ? 8 : 7).build());
+			asked++;
+		}
+		assertThat(asked).isEqualTo(100);
+		assertThat(json(first.join()).path("inForce").asInt()).isEqualTo(101);
+		assertThat(json(second.join()).path("inForce").asInt()).isEqualTo(40);
+	}
+
+	@Test
+	void queryWithoutAWholeNumberIsRefused() {
+		for (String query : List.of("", "revision=", "revision=-1", "revision=x", "revision=9999999999999999999")) {
+			assertThat(get(query).toCompletableFuture().join().status().intValue()).as(query).isEqualTo(400);
+		}
+	}
+
+	private CompletionStage<HttpResponse> get(String query) {
+		return this.api.handle(HttpRequest.GET("http://n0/wasabicart/in-force?" + query)).orElseThrow();
+	}
+
+	private JsonNode body() throws IOException {
+		return json(get("revision=7").toCompletableFuture().join());
+	}
+
+	private static JsonNode json(HttpResponse response) throws IOException {
+		return MAPPER.readTree(((HttpEntity.Strict) response.entity()).getData().utf8String());
+	}
+
+	/**
+	 * Responds at once with the given revisions; other addresses are unreachable. Holds
+	 * the responses back if {@code held} is set.
+	 */
+	private static final class FakeTransport implements PeerTransport {
+
+		private final Map<NodeAddress, Long> revisions = new HashMap<>();
+
+		private final List<Duration> timeouts = new ArrayList<>();
+
+		private Queue<CompletableFuture<ControlResponse>> held;
+
+		@Override
+		public CompletableFuture<ControlResponse> ask(NodeAddress address, ControlRequest request, Duration timeout) {
+			assertThat(request.getRevisionQuery()).isTrue();
+			this.timeouts.add(timeout);
+			if (this.held != null) {
+				CompletableFuture<ControlResponse> future = new CompletableFuture<>();
+				this.held.add(future);
+				return future;
+			}
+			Long revision = this.revisions.get(address);
+			return (revision != null)
+					? CompletableFuture
+						.completedFuture(ControlResponse.newBuilder().setRevisionInForce(revision).build())
+					: CompletableFuture.failedFuture(new IOException("unreachable"));
+		}
+
+		@Override
+		public PeerCall send(NodeAddress address, CallRequest request, PeerCallListener listener) {
+			throw new UnsupportedOperationException("The test sends no calls");
+		}
+
+	}
+
+}
