Count the nodes in force by their own answers in publish

publish counted over the member view of the named node, whose revisions of other nodes lag by design, so it could wait for the view rather than for the nodes.

InForceWait asks the named node's in-force path, and asks again every 200 ms only as long as some node is behind.

With a node that is behind in two responses, exactly three requests are sent.

Conclusion: publish reports what the nodes answered. A named node of an earlier version has no such path and is treated as not responding.

--- a/wasabicart-command/src/main/java/org/wasabicart/command/InForceWait.java
+++ b/wasabicart-command/src/main/java/org/wasabicart/command/InForceWait.java
@@ -4,14 +4,17 @@
 import java.time.Duration;
 import java.util.List;
 
+import com.fasterxml.jackson.databind.JsonNode;
+
 import org.wasabicart.core.model.Revision;
 
 /**
- * Waits until a revision is in force on all nodes that the named nodes know of.
+ * Waits until a revision is in force on all nodes that a named node knows of. The named
+ * node asks each of them.
  */
 final class InForceWait {
 
-	private static final Duration INTERVAL = Duration.ofMillis(100);
+	private static final Duration INTERVAL = Duration.ofMillis(200);
 
 	private final NodeStatusClient client = new NodeStatusClient();
 
@@ -36,24 +39,29 @@
 	}
 
 	private Result count(Revision revision, long start) throws InterruptedException {
-		for (String node : this.nodes) {
+		for (int index = 0; index < this.nodes.size(); index++) {
+			// A node that does not respond must leave time for the nodes after it.
+			Duration timeout = this.limit.minus(since(start)).dividedBy(this.nodes.size() - index);
 			try {
-				List<StatusMember> members = StatusMember.read(this.client.read(node));
-				long inForce = members.stream().filter((member) -> member.revision() >= revision.value()).count();
-				return new Result((int) inForce, members.size(), Duration.ofNanos(System.nanoTime() - start));
+				JsonNode count = this.client.inForce(this.nodes.get(index), revision, timeout);
+				return new Result(count.path("inForce").asInt(), count.path("nodes").asInt(), since(start));
 			}
 			catch (IOException ex) {
 				// The next named node may respond.
 			}
 		}
-		return new Result(0, 0, Duration.ofNanos(System.nanoTime() - start));
+		return new Result(0, 0, since(start));
+	}
+
+	private static Duration since(long start) {
+		return Duration.ofNanos(System.nanoTime() - start);
 	}
 
 	/**
 	 * Nodes on which a revision is in force.
 	 *
 	 * @param inForce nodes with the revision or a higher one
-	 * @param known nodes that are known
+	 * @param known nodes that the named node knows of; zero if no named node responded
 	 * @param waited time that was waited
 	 */
 	record Result(int inForce, int known, Duration waited) {
--- /dev/null
+++ b/wasabicart-command/src/test/java/org/wasabicart/command/InForceWaitTests.java
@@ -0,0 +1,89 @@
+package org.wasabicart.command;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.sun.net.httpserver.HttpServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import org.wasabicart.core.model.Revision;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against reports that a revision is in force while some node is behind, and
+ * against requests after all nodes have it.
+ */
+@Timeout(30)
+class InForceWaitTests {
+
+	private static final Revision REVISION = new Revision(7);
+
+	private final AtomicInteger requests = new AtomicInteger();
+
+	private final HttpServer server;
+
+	InForceWaitTests() throws IOException {
+		this.server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+	}
+
+	@AfterEach
+	void stopServer() {
+		this.server.stop(0);
+	}
+
+	@Test
+	void asksAgainOnlyWhileSomeNodeIsBehind() throws Exception {
+		String node = serve(200, 2);
+		InForceWait.Result result = new InForceWait(List.of(node), Duration.ofSeconds(20)).await(REVISION);
+		assertThat(result.isComplete()).isTrue();
+		assertThat(result.inForce()).isEqualTo(3);
+		assertThat(this.requests).hasValue(3);
+		assertThat(result.waited()).isGreaterThanOrEqualTo(Duration.ofMillis(400));
+	}
+
+	@Test
+	void nodeThatStaysBehindIsReportedAtTheLimit() throws Exception {
+		String node = serve(200, Integer.MAX_VALUE);
+		InForceWait.Result result = new InForceWait(List.of(node), Duration.ofMillis(500)).await(REVISION);
+		assertThat(result.isComplete()).isFalse();
+		assertThat(result.inForce()).isEqualTo(2);
+		assertThat(result.known()).isEqualTo(3);
+	}
+
+	@Test
+	void nodeWithoutThePathIsNotComplete() throws Exception {
+		String node = serve(404, 0);
+		assertThat(new InForceWait(List.of(node), Duration.ZERO).await(REVISION).isComplete()).isFalse();
+	}
+
+	@Test
+	void nextNamedNodeIsAskedIfOneDoesNotRespond() throws Exception {
+		String node = serve(200, 0);
+		assertThat(new InForceWait(List.of("http://127.0.0.1:1", node), Duration.ZERO).await(REVISION).isComplete())
+			.isTrue();
+	}
+
+	// Responds that one of three nodes is behind, for the given number of requests.
+	private String serve(int status, int behind) {
+		this.server.createContext("/wasabicart/in-force", (exchange) -> {
+			boolean complete = this.requests.getAndIncrement() >= behind;
+			boolean expected = "revision=7".equals(exchange.getRequestURI().getQuery());
+			byte[] body = ("{\"revision\":7,\"nodes\":3,\"inForce\":" + (complete ? 3 : 2) + ",\"unreachable\":[]}")
+				.getBytes(StandardCharsets.UTF_8);
+			exchange.sendResponseHeaders(expected ? status : 400, body.length);
+			exchange.getResponseBody().write(body);
+			exchange.close();
+		});
+		this.server.start();
+		return "http://127.0.0.1:" + this.server.getAddress().getPort();
+	}
+
+}
