Use a silent node instead of a fixed port in InForceWaitTests

The test for the next named node assumed that nothing listens on port 1.

It now names a socket that accepts connections and never responds, which also covers the timeout of one node.

--- a/wasabicart-command/src/test/java/org/wasabicart/command/InForceWaitTests.java
+++ b/wasabicart-command/src/test/java/org/wasabicart/command/InForceWaitTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -67,8 +68,10 @@
 	@Test
 	void nextNamedNodeIsAskedIfOneDoesNotRespond() throws Exception {
 		String node = serve(200, 0);
-		assertThat(new InForceWait(List.of("http://127.0.0.1:1", node), Duration.ZERO).await(REVISION).isComplete())
-			.isTrue();
+		try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			List<String> nodes = List.of("http://127.0.0.1:" + silent.getLocalPort(), node);
+			assertThat(new InForceWait(nodes, Duration.ZERO).await(REVISION).isComplete()).isTrue();
+		}
 	}
 
 	// Responds that one of three nodes is behind, for the given number of requests.
