Give repeated sends their own refusal reason and the latency chain its own ids

Cause: in experiment latency, all 1,466 calls of the chain 11 deep were refused as overloaded, while every threshold was zero. The chain reused the request ids of the one-hop measurement, and the entry node rightly counted the calls as repeated sends without allowance, but under the reason of an overload. Change: reason retries-spent; request ids differ between the measurements.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/model/RefusalReason.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/model/RefusalReason.java
@@ -19,6 +19,9 @@
 	/** The queue is full or the queue time has passed. */
 	QUEUE_FULL,
 
+	/** Earlier sends of this request id used up its retry allowance. */
+	RETRIES_SPENT,
+
 	/** The deadline passed before the request ran. */
 	EXPIRED,
 
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/latency/LatencyExperiment.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/latency/LatencyExperiment.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Collections;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -108,8 +109,10 @@
 			ExperimentArguments arguments) throws Exception {
 		double rate = arguments.decimal("rate");
 		double seconds = arguments.decimal("seconds");
-		load(kind, nodeUrl, directUrl, rate, WARM_UP_SECONDS, arguments.seed());
-		List<LoadResult> results = load(kind, nodeUrl, directUrl, rate, seconds, arguments.seed() + 1);
+		// Request ids follow from the seed, and a repeated id counts as a retry.
+		SplittableRandom seeds = new SplittableRandom(arguments.seed() + kind.hashCode());
+		load(kind, nodeUrl, directUrl, rate, WARM_UP_SECONDS, seeds.nextInt(Integer.MAX_VALUE));
+		List<LoadResult> results = load(kind, nodeUrl, directUrl, rate, seconds, seeds.nextInt(Integer.MAX_VALUE));
 		Histogram through = results.get(0).latencies(kind);
 		Histogram direct = results.get(1).latencies(kind);
 		ObjectNode figures = JsonNodeFactory.instance.objectNode();
--- a/wasabicart-node/src/main/java/org/wasabicart/node/http/CallerApi.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/http/CallerApi.java
@@ -97,7 +97,7 @@
 		if (known.decision() != ClientRequestTable.Decision.ADMITTED) {
 			boolean full = known.decision() == ClientRequestTable.Decision.TABLE_FULL;
 			listener.finished(
-					Outcomes.refused(call, full ? RefusalReason.TABLE_FULL : RefusalReason.OVERLOADED, RETRY_AFTER));
+					Outcomes.refused(call, full ? RefusalReason.TABLE_FULL : RefusalReason.RETRIES_SPENT, RETRY_AFTER));
 			return () -> {
 			};
 		}
