Find nodes that start at the same moment through the contact entries

Cause: two nodes started together and listed the contact entries before either was written; the next regular read came 30 to 90 s later, and until then each refused calls to the other's service. Change: a contact node reads right after it has written its entry, so that of two nodes at least one sees the other; a node that is alone reads again with a backoff from 1 s. The latency experiment alternates in slices of 1 s instead of loading both targets at once.

--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/latency/LatencyExperiment.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/latency/LatencyExperiment.java
@@ -1,13 +1,10 @@
 package org.wasabicart.experiment.latency;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.Callable;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -29,6 +26,7 @@
 import org.wasabicart.standin.caller.ArrivalSchedule;
 import org.wasabicart.standin.caller.CallerBehaviour;
 import org.wasabicart.standin.caller.CallerKind;
+import org.wasabicart.standin.caller.CallerRecord;
 import org.wasabicart.standin.caller.LoadGenerator;
 import org.wasabicart.standin.caller.LoadPhase;
 import org.wasabicart.standin.caller.LoadResult;
@@ -39,6 +37,8 @@
  */
 public final class LatencyExperiment implements Experiment {
 
+	private static final double SLICE_SECONDS = 1;
+
 	private static final String DEFAULT_DEPTH = "11";
 
 	// 120,000 calls/s on 680 nodes.
@@ -109,10 +109,9 @@
 			ExperimentArguments arguments) throws Exception {
 		double rate = arguments.decimal("rate");
 		double seconds = arguments.decimal("seconds");
-		// Request ids follow from the seed, and a repeated id counts as a retry.
 		SplittableRandom seeds = new SplittableRandom(arguments.seed() + kind.hashCode());
-		load(kind, nodeUrl, directUrl, rate, WARM_UP_SECONDS, seeds.nextInt(Integer.MAX_VALUE));
-		List<LoadResult> results = load(kind, nodeUrl, directUrl, rate, seconds, seeds.nextInt(Integer.MAX_VALUE));
+		load(kind, nodeUrl, directUrl, rate, WARM_UP_SECONDS, seeds);
+		List<LoadResult> results = load(kind, nodeUrl, directUrl, rate, seconds, seeds);
 		Histogram through = results.get(0).latencies(kind);
 		Histogram direct = results.get(1).latencies(kind);
 		ObjectNode figures = JsonNodeFactory.instance.objectNode();
@@ -139,23 +138,38 @@
 		return figures;
 	}
 
+	// Alternates between both targets in short slices, so that neither carries the
+	// other's
+	// load and both see the same changes of the machine.
 	private static List<LoadResult> load(String kind, String nodeUrl, String directUrl, double rate, double seconds,
-			long seed) throws Exception {
+			SplittableRandom seeds) throws Exception {
 		CallerKind callerKind = new CallerKind(kind, "/" + kind, false, ONCE.patienceMilliseconds(), 1);
-		List<LoadPhase> phases = List.of(new LoadPhase(seconds, rate));
-		ExecutorService threads = Executors.newFixedThreadPool(2);
+		List<LoadPhase> slice = List.of(new LoadPhase(SLICE_SECONDS, rate));
+		List<LoadResult> throughNodes = new ArrayList<>();
+		List<LoadResult> directly = new ArrayList<>();
 		try (LoadGenerator through = new LoadGenerator(List.of(nodeUrl), DeploymentPlan.TENANT, ONCE);
 				LoadGenerator direct = new LoadGenerator(List.of(directUrl), DeploymentPlan.TENANT, ONCE)) {
-			List<Callable<LoadResult>> runs = List
-				.of(() -> through.run(ArrivalSchedule.create(seed, phases, List.of(callerKind)), (record) -> {
-				}), () -> direct.run(ArrivalSchedule.create(-seed, phases, List.of(callerKind)), (record) -> {
-				}));
-			List<Future<LoadResult>> results = threads.invokeAll(runs);
-			return List.of(results.get(0).get(), results.get(1).get());
-		}
-		finally {
-			threads.shutdownNow();
+			for (double done = 0; done < seconds; done += SLICE_SECONDS) {
+				throughNodes.add(run(through, seeds, slice, callerKind));
+				directly.add(run(direct, seeds, slice, callerKind));
+			}
 		}
+		return List.of(joined(throughNodes), joined(directly));
+	}
+
+	// Request ids follow from the seed, and a repeated id would count as a retry.
+	private static LoadResult run(LoadGenerator generator, SplittableRandom seeds, List<LoadPhase> slice,
+			CallerKind kind) throws InterruptedException {
+		return generator.run(ArrivalSchedule.create(seeds.nextInt(Integer.MAX_VALUE), slice, List.of(kind)),
+				(record) -> {
+				});
+	}
+
+	private static LoadResult joined(List<LoadResult> slices) {
+		List<CallerRecord> records = new ArrayList<>();
+		slices.forEach((slice) -> records.addAll(slice.records()));
+		long lag = slices.stream().mapToLong(LoadResult::maximumLagNanoseconds).max().orElse(0);
+		return new LoadResult(records, slices.get(0).startMicroseconds(), lag);
 	}
 
 	private static double milliseconds(Histogram histogram, double percentile) {
--- a/wasabicart-node/src/main/java/org/wasabicart/node/membership/ContactEntries.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/membership/ContactEntries.java
@@ -55,6 +55,8 @@
 
 	private final Backoff backoff;
 
+	private final Backoff aloneBackoff;
+
 	private final RandomGenerator random;
 
 	private final Consumer<Collection<NodeAddress>> contacts;
@@ -65,6 +67,8 @@
 
 	private Revision writtenRevision = new Revision(0);
 
+	private boolean alone;
+
 	private boolean reading;
 
 	private long nextRead;
@@ -80,11 +84,13 @@
 		this.random = random;
 		this.executor = executor;
 		this.backoff = new Backoff(FIRST_BACKOFF, MAXIMUM_BACKOFF, random);
+		this.aloneBackoff = new Backoff(FIRST_BACKOFF, MAXIMUM_BACKOFF, random);
 		this.contacts = contacts;
 		this.nextRead = ticker.nanoseconds();
 	}
 
 	void tick(boolean contact, boolean alone) {
+		this.alone = alone;
 		ContactLease.Call call = this.lease.next(contact);
 		if (call != ContactLease.Call.NONE) {
 			start(call).whenComplete((done, ex) -> this.executor.execute(() -> ended(call, done, ex)));
@@ -129,6 +135,13 @@
 		}
 		else if (done) {
 			this.lease.succeeded(call);
+			if (call == ContactLease.Call.WRITE) {
+				// Of two nodes that write and then read, at least one sees the other.
+				// Nodes
+				// that start at the same moment would otherwise miss each other until the
+				// next regular read.
+				this.nextRead = this.ticker.nanoseconds();
+			}
 		}
 		else if (call == ContactLease.Call.KEEP_ALIVE) {
 			this.lease.lost();
@@ -161,7 +174,7 @@
 			return;
 		}
 		this.backoff.succeeded();
-		this.nextRead = now + READ_INTERVAL / 2 + this.random.nextLong(READ_INTERVAL);
+		this.nextRead = now + nextInterval();
 		List<NodeAddress> addresses = new ArrayList<>();
 		for (StoredValue entry : values) {
 			parse(entry).ifPresent(addresses::add);
@@ -169,6 +182,14 @@
 		this.contacts.accept(addresses);
 	}
 
+	private long nextInterval() {
+		if (this.alone) {
+			return this.aloneBackoff.failed();
+		}
+		this.aloneBackoff.succeeded();
+		return READ_INTERVAL / 2 + this.random.nextLong(READ_INTERVAL);
+	}
+
 	private static Optional<NodeAddress> parse(StoredValue entry) {
 		String text = new String(entry.value(), StandardCharsets.UTF_8);
 		int colon = text.lastIndexOf(':');
