Share the start and the loads of the Kleinhans experiments

Cause: the drain and silent experiments each started and warmed up the scaled Kleinhans deployment, and the silent experiment ran one load per entry node; the partition experiment needs both. Change: KleinhansRun starts, warms up and ends the deployment, EntryLoads runs one load per group of entry nodes.

--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/link/SilentExperiment.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/link/SilentExperiment.java
@@ -3,10 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
-import java.util.concurrent.Callable;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -14,18 +10,14 @@
 
 import org.wasabicart.experiment.Experiment;
 import org.wasabicart.experiment.ExperimentArguments;
-import org.wasabicart.experiment.ScaledPlans;
-import org.wasabicart.experiment.harness.ControlMode;
+import org.wasabicart.experiment.KleinhansRun;
 import org.wasabicart.experiment.harness.Deployment;
-import org.wasabicart.experiment.harness.DeploymentPlan;
-import org.wasabicart.experiment.harness.ProcessHarness;
-import org.wasabicart.experiment.harness.WarmUp;
-import org.wasabicart.standin.caller.ArrivalSchedule;
+import org.wasabicart.experiment.harness.EntryLoads;
 import org.wasabicart.standin.caller.CallerBehaviour;
 import org.wasabicart.standin.caller.CallerOutcome;
 import org.wasabicart.standin.caller.CallerRecord;
-import org.wasabicart.standin.caller.LoadGenerator;
 import org.wasabicart.standin.caller.LoadPhase;
+import org.wasabicart.standin.caller.LoadResult;
 
 /**
  * Makes all open connections between nodes silent at once, twice in a row, and measures
@@ -60,39 +52,21 @@
 
 	@Override
 	public JsonNode run(ExperimentArguments arguments) throws Exception {
-		DeploymentPlan plan = ScaledPlans.kleinhans();
-		try (ProcessHarness harness = new ProcessHarness();
-				Deployment deployment = Deployment.start(harness, plan, ControlMode.WASABICART,
-						arguments.addressPrefix())) {
-			deployment.awaitReady();
-			WarmUp.run(List.of(deployment), WARM_UP_SECONDS);
-			return drive(deployment, arguments.seed());
-		}
+		return KleinhansRun.measure(arguments, WARM_UP_SECONDS, SilentExperiment::drive);
 	}
 
 	private static ObjectNode drive(Deployment deployment, long seed) throws Exception {
-		List<String> entries = deployment.httpUrls();
-		ExecutorService threads = Executors.newFixedThreadPool(entries.size());
-		try {
-			long start = System.currentTimeMillis();
-			List<Future<List<CallerRecord>>> running = new ArrayList<>();
-			for (int index = 0; index < entries.size(); index++) {
-				running.add(threads.submit(load(deployment, entries.get(index), seed + index, entries.size())));
-			}
+		List<List<String>> entries = deployment.httpUrls().stream().map(List::of).toList();
+		LoadPhase phase = new LoadPhase(LOAD_SECONDS, LOAD_SHARE * deployment.plan().capacity());
+		long start = System.currentTimeMillis();
+		try (EntryLoads loads = EntryLoads.start(deployment, entries, phase, PATIENT, seed)) {
 			List<Long> silences = new ArrayList<>();
 			for (long at : SILENCE_MILLISECONDS) {
 				Thread.sleep(Math.max(0, start + at - System.currentTimeMillis()));
 				silences.add(System.currentTimeMillis() * MICROSECONDS_PER_MILLISECOND);
 				silenceAll(deployment);
 			}
-			List<List<CallerRecord>> records = new ArrayList<>();
-			for (Future<List<CallerRecord>> entry : running) {
-				records.add(entry.get());
-			}
-			return report(records, silences);
-		}
-		finally {
-			threads.shutdownNow();
+			return report(loads.await().stream().map(LoadResult::records).toList(), silences);
 		}
 	}
 
@@ -102,19 +76,6 @@
 					"{\"silenceExisting\": [{\"from\": \"*\", \"to\": \"*\"}]}");
 	}
 
-	private static Callable<List<CallerRecord>> load(Deployment deployment, String entry, long seed, int entries) {
-		double rate = LOAD_SHARE * deployment.plan().capacity() / entries;
-		return () -> {
-			try (LoadGenerator generator = new LoadGenerator(List.of(entry), DeploymentPlan.TENANT, PATIENT)) {
-				List<LoadPhase> phases = List.of(new LoadPhase(LOAD_SECONDS, rate));
-				return generator
-					.run(ArrivalSchedule.create(seed, phases, deployment.plan().callerKinds()), (record) -> {
-					})
-					.records();
-			}
-		};
-	}
-
 	private static ObjectNode report(List<List<CallerRecord>> entries, List<Long> silences) {
 		List<Double> seconds = new ArrayList<>();
 		int withoutAnswer = 0;
--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/DrainExperiment.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/membership/DrainExperiment.java
@@ -16,17 +16,14 @@
 
 import org.wasabicart.experiment.Experiment;
 import org.wasabicart.experiment.ExperimentArguments;
-import org.wasabicart.experiment.ScaledPlans;
+import org.wasabicart.experiment.KleinhansRun;
 import org.wasabicart.experiment.figures.HistoryReader;
 import org.wasabicart.experiment.figures.HistoryRun;
-import org.wasabicart.experiment.harness.ControlMode;
 import org.wasabicart.experiment.harness.DeployedNode;
 import org.wasabicart.experiment.harness.Deployment;
 import org.wasabicart.experiment.harness.DeploymentPlan;
 import org.wasabicart.experiment.harness.ManagedProcess;
-import org.wasabicart.experiment.harness.ProcessHarness;
 import org.wasabicart.experiment.harness.ProcessSignal;
-import org.wasabicart.experiment.harness.WarmUp;
 import org.wasabicart.standin.caller.ArrivalSchedule;
 import org.wasabicart.standin.caller.CallerBehaviour;
 import org.wasabicart.standin.caller.CallerOutcome;
@@ -68,14 +65,7 @@
 
 	@Override
 	public JsonNode run(ExperimentArguments arguments) throws Exception {
-		DeploymentPlan plan = ScaledPlans.kleinhans();
-		try (ProcessHarness harness = new ProcessHarness();
-				Deployment deployment = Deployment.start(harness, plan, ControlMode.WASABICART,
-						arguments.addressPrefix())) {
-			deployment.awaitReady();
-			WarmUp.run(List.of(deployment), WARM_UP_SECONDS);
-			return drive(deployment, arguments.seed());
-		}
+		return KleinhansRun.measure(arguments, WARM_UP_SECONDS, DrainExperiment::drive);
 	}
 
 	private static ObjectNode drive(Deployment deployment, long seed) throws Exception {
