Add the experiment on partitions between regions

Cause: no run with real processes showed what each part serves while the regions have lost contact, and how long healing takes. Change: under load through the entry nodes of each region separately, the relay cuts the regions in both directions for 5 s and later in one direction for 3 s. Refusals, answers and orders are compared with the histories of the backend servers, and members are polled at every node. Truthful refusal during a partition is not exercised, because each part has every service.

--- a/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/ExperimentRegistry.java
@@ -17,6 +17,7 @@
 import org.wasabicart.experiment.membership.MembershipFaultsExperiment;
 import org.wasabicart.experiment.orders.OrdersExperiment;
 import org.wasabicart.experiment.overload.OverloadExperiment;
+import org.wasabicart.experiment.partition.PartitionExperiment;
 
 /**
  * Experiments that the command line offers.
@@ -52,6 +53,7 @@
 		experiments.add(new MembershipFaultsExperiment());
 		experiments.add(new ConfigurationExperiment());
 		experiments.add(new DrainExperiment());
+		experiments.add(new PartitionExperiment());
 		return new ExperimentRegistry(experiments);
 	}
 
--- /dev/null
+++ b/wasabicart-experiment/src/main/java/org/wasabicart/experiment/partition/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Experiment on partitions between failure domains.
+ */
+package org.wasabicart.experiment.partition;
