--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendMain.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendMain.java
@@ -15,6 +15,7 @@
 
 import org.wasabicart.standin.http.Addresses;
 import org.wasabicart.standin.http.Json;
+import org.wasabicart.standin.http.ProgramFlags;
 
 /**
  * Runs backend servers as a process. At SIGTERM they drain, and the process ends when
@@ -45,7 +46,7 @@
 		SERVER_FLAGS.forEach((flag) -> parser.accepts(flag).withRequiredArg());
 		parser.accepts("servers", "JSON file with an array of servers").withRequiredArg();
 		parser.accepts("history", "File for the history of runs").withRequiredArg();
-		OptionSet options = parser.parse(arguments);
+		OptionSet options = ProgramFlags.parse(parser, arguments);
 		RunHistory history = options.has("history") ? RunHistory.open(Path.of((String) options.valueOf("history")))
 				: RunHistory.none();
 		BackendEnvironment environment = new BackendEnvironment(history);
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/relay/RelayMain.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/relay/RelayMain.java
@@ -10,6 +10,7 @@
 
 import org.wasabicart.standin.http.Addresses;
 import org.wasabicart.standin.http.Json;
+import org.wasabicart.standin.http.ProgramFlags;
 
 /**
  * Runs the network relay as a process until it is terminated.
@@ -30,7 +31,7 @@
 		OptionSpec<String> address = parser.accepts("control-address", "Address of the control endpoints")
 			.withRequiredArg()
 			.defaultsTo("127.0.0.1:7500");
-		OptionSet options = parser.parse(arguments);
+		OptionSet options = ProgramFlags.parse(parser, arguments);
 		RelayRules rules = RelayRules.of(Json.parse(Files.readAllBytes(Path.of(options.valueOf(rulesFile)))));
 		try (NetworkRelay relay = NetworkRelay.start(rules, Addresses.parse(options.valueOf(address)))) {
 			System.out.println("ready " + Addresses.format(relay.controlAddress()));
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/store/StoreMain.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/store/StoreMain.java
@@ -6,6 +6,7 @@
 import joptsimple.OptionSpec;
 
 import org.wasabicart.standin.http.Addresses;
+import org.wasabicart.standin.http.ProgramFlags;
 
 /**
  * Runs the store stand-in as a process until it is terminated.
@@ -25,7 +26,7 @@
 		OptionSpec<String> address = parser.accepts("address", "Address to listen on")
 			.withRequiredArg()
 			.defaultsTo("127.0.0.1:2379");
-		String text = parser.parse(arguments).valueOf(address);
+		String text = ProgramFlags.parse(parser, arguments).valueOf(address);
 		try (StoreStandin store = StoreStandin.start(Addresses.parse(text))) {
 			System.out.println("ready " + store.url());
 			new CountDownLatch(1).await();
