--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/GateRefusal.java
@@ -0,0 +1,29 @@
+package org.wasabicart.core.mesh;
+
+/**
+ * Why a call was not passed to the backend server.
+ */
+public enum GateRefusal {
+
+	/** No slot becomes free early enough. */
+	OVERLOADED,
+
+	/** The time left is over. */
+	EXPIRED,
+
+	/** The server takes no new work. */
+	DRAINING,
+
+	/** The server is not the expected incarnation, or is not known. */
+	WRONG_INSTANCE,
+
+	/** The server accepts no connection. */
+	UNREACHABLE,
+
+	/** The server answered that it did not run the call. */
+	SHED,
+
+	/** The caller has left. */
+	CANCELLED
+
+}
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberStatus.java
@@ -0,0 +1,126 @@
+package org.wasabicart.core.mesh;
+
+import java.util.Objects;
+
+/**
+ * What one node knows of a backend server that it sends calls to.
+ */
+public final class MemberStatus {
+
+	private MeshMember member;
+
+	private MemberLoadReport report;
+
+	private int inFlight;
+
+	private int inFlightAtReport;
+
+	private boolean reachable = true;
+
+	private long avoidedUntil;
+
+	private boolean avoided;
+
+	/**
+	 * Creates a status.
+	 * @param member server
+	 */
+	public MemberStatus(MeshMember member) {
+		member(member);
+	}
+
+	/**
+	 * Returns the server.
+	 * @return the server
+	 */
+	public MeshMember member() {
+		return this.member;
+	}
+
+	/**
+	 * Replaces what the node beside the server announced.
+	 * @param announced server
+	 */
+	public void member(MeshMember announced) {
+		Objects.requireNonNull(announced, "announced");
+		if (this.member != null && !this.member.instance().equals(announced.instance())) {
+			this.report = null;
+			this.avoided = false;
+		}
+		this.member = announced;
+	}
+
+	/**
+	 * A call was sent.
+	 */
+	public void sent() {
+		this.inFlight++;
+	}
+
+	/**
+	 * A call has ended.
+	 */
+	public void ended() {
+		this.inFlight--;
+		this.inFlightAtReport = Math.min(this.inFlightAtReport, this.inFlight);
+	}
+
+	/**
+	 * Records the load that came with an answer.
+	 * @param load load
+	 */
+	public void reported(MemberLoadReport load) {
+		this.report = load;
+		this.inFlightAtReport = this.inFlight;
+	}
+
+	/**
+	 * Records whether the node beside the server can be reached.
+	 * @param value whether it can be reached
+	 */
+	public void reachable(boolean value) {
+		this.reachable = value;
+	}
+
+	/**
+	 * Returns whether the node beside the server can be reached.
+	 * @return whether it can be reached
+	 */
+	public boolean reachable() {
+		return this.reachable;
+	}
+
+	/**
+	 * Sends no calls until a time.
+	 * @param until time in nanoseconds
+	 */
+	public void avoid(long until) {
+		this.avoided = true;
+		this.avoidedUntil = until;
+	}
+
+	/**
+	 * Returns whether new calls may be sent.
+	 * @param now current time in nanoseconds
+	 * @return whether the server takes new work and can be reached
+	 */
+	public boolean usable(long now) {
+		if (this.avoided && now - this.avoidedUntil >= 0) {
+			this.avoided = false;
+		}
+		return this.reachable && !this.avoided && this.member.state() == ServerState.READY;
+	}
+
+	/**
+	 * Returns the running and waiting calls as a share of the slots.
+	 * @return the load; 1 means that all slots are in use
+	 */
+	public double load() {
+		if (this.report == null) {
+			return (double) this.inFlight / this.member.slots();
+		}
+		int sinceReport = Math.max(0, this.inFlight - this.inFlightAtReport);
+		return (double) (this.report.running() + this.report.waiting() + sinceReport) / this.report.limit();
+	}
+
+}
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MeshMember.java
@@ -0,0 +1,39 @@
+package org.wasabicart.core.mesh;
+
+import java.util.Objects;
+
+import org.wasabicart.core.model.FailureDomain;
+import org.wasabicart.core.model.NodeAddress;
+import org.wasabicart.core.model.NodeId;
+import org.wasabicart.core.model.RegionName;
+import org.wasabicart.core.model.ServiceName;
+
+/**
+ * A backend server together with the node beside it, as the node announces it.
+ *
+ * @param node node
+ * @param address address of the node for calls from other nodes
+ * @param failureDomain failure domain of the VM
+ * @param region region of the failure domain
+ * @param service service of the server
+ * @param instance id of the server's incarnation
+ * @param slots requests that the server runs at the same time
+ * @param state whether the server takes new work
+ */
+public record MeshMember(NodeId node, NodeAddress address, FailureDomain failureDomain, RegionName region,
+		ServiceName service, String instance, int slots, ServerState state) {
+
+	public MeshMember {
+		Objects.requireNonNull(node, "node");
+		Objects.requireNonNull(address, "address");
+		Objects.requireNonNull(failureDomain, "failureDomain");
+		Objects.requireNonNull(region, "region");
+		Objects.requireNonNull(service, "service");
+		Objects.requireNonNull(instance, "instance");
+		Objects.requireNonNull(state, "state");
+		if (slots < 1) {
+			throw new IllegalArgumentException("Server has no slot: " + instance);
+		}
+	}
+
+}
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MeshRoute.java
@@ -0,0 +1,41 @@
+package org.wasabicart.core.mesh;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Requests of one host below one path prefix.
+ *
+ * @param name name, unique within a configuration
+ * @param host host that the request names
+ * @param prefix path prefix that begins and ends with a slash
+ * @param idempotent whether a request may run more than once
+ * @param priority rank of the requests; 0 is the highest
+ * @param maximumAttempts largest number of servers to which one request may be sent
+ * @param timeout longest time that a request is kept waiting, if limited
+ * @param targetLatency time within which an answer has its full value, if stated
+ * @param shares services that run the requests, at least one
+ */
+public record MeshRoute(String name, String host, String prefix, boolean idempotent, int priority, int maximumAttempts,
+		Optional<Duration> timeout, Optional<Duration> targetLatency, List<ServiceShare> shares) {
+
+	public MeshRoute {
+		Objects.requireNonNull(name, "name");
+		Objects.requireNonNull(host, "host");
+		Objects.requireNonNull(timeout, "timeout");
+		Objects.requireNonNull(targetLatency, "targetLatency");
+		shares = List.copyOf(shares);
+		if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
+			throw new IllegalArgumentException("Prefix does not begin and end with a slash: " + prefix);
+		}
+		if (shares.isEmpty()) {
+			throw new IllegalArgumentException("Route has no service: " + name);
+		}
+		if (maximumAttempts < 1) {
+			throw new IllegalArgumentException("Route allows no attempt: " + name);
+		}
+	}
+
+}
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/RepeatBudget.java
@@ -0,0 +1,47 @@
+package org.wasabicart.core.mesh;
+
+/**
+ * Limits how often one node sends requests of one service a second time. Each first send
+ * earns a fraction of a repeat, so the sum over all nodes stays within the same fraction
+ * of all requests without coordination. Answers the load of retries that multiply when a
+ * service fails part of its requests.
+ */
+public final class RepeatBudget {
+
+	private final double earnedPerRequest;
+
+	private final double maximum;
+
+	private double tokens;
+
+	/**
+	 * Creates a budget that starts with one repeat.
+	 * @param earnedPerRequest repeats that each first send earns
+	 * @param maximum largest number of repeats that are kept for later, at least 1
+	 */
+	public RepeatBudget(double earnedPerRequest, double maximum) {
+		this.earnedPerRequest = earnedPerRequest;
+		this.maximum = Math.max(1, maximum);
+		this.tokens = 1;
+	}
+
+	/**
+	 * Records the first send of a request.
+	 */
+	public void earn() {
+		this.tokens = Math.min(this.maximum, this.tokens + this.earnedPerRequest);
+	}
+
+	/**
+	 * Takes one repeat if there is one.
+	 * @return whether the request may be sent again
+	 */
+	public boolean spend() {
+		if (this.tokens < 1) {
+			return false;
+		}
+		this.tokens--;
+		return true;
+	}
+
+}
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/SplitRotation.java
@@ -0,0 +1,45 @@
+package org.wasabicart.core.mesh;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.wasabicart.core.model.ServiceName;
+
+/**
+ * Deals the requests of a route to its services in the proportion of their weights, by
+ * smooth weighted round robin. A service that is short of room keeps its share.
+ */
+public final class SplitRotation {
+
+	private final Map<ServiceName, Long> credits = new HashMap<>();
+
+	/**
+	 * Chooses the service of the next request.
+	 * @param shares services with their weights, at least one
+	 * @return the service
+	 */
+	public ServiceName next(List<ServiceShare> shares) {
+		if (shares.size() == 1) {
+			return shares.get(0).service();
+		}
+		this.credits.keySet().retainAll(shares.stream().map(ServiceShare::service).toList());
+		long total = 0;
+		ServiceShare best = null;
+		long bestCredit = Long.MIN_VALUE;
+		for (ServiceShare share : shares) {
+			total += share.weight();
+			long credit = this.credits.merge(share.service(), (long) share.weight(), Long::sum);
+			if (share.weight() > 0 && credit > bestCredit) {
+				best = share;
+				bestCredit = credit;
+			}
+		}
+		if (best == null) {
+			return shares.get(0).service();
+		}
+		this.credits.put(best.service(), bestCredit - total);
+		return best.service();
+	}
+
+}
--- /dev/null
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendAnnouncement.java
@@ -0,0 +1,31 @@
+package org.wasabicart.mesh;
+
+import java.util.Objects;
+
+import org.wasabicart.core.mesh.ServerState;
+import org.wasabicart.core.model.ServiceName;
+
+/**
+ * One heartbeat of a backend server.
+ *
+ * @param instance id of the server
+ * @param born start of the server's incarnation, in milliseconds since the epoch; 0 if
+ * unknown
+ * @param sequence number of the heartbeat within the incarnation
+ * @param service service that the server runs
+ * @param slots requests that the server runs at the same time
+ * @param state whether the server takes new work
+ */
+public record BackendAnnouncement(String instance, long born, long sequence, ServiceName service, int slots,
+		ServerState state) {
+
+	public BackendAnnouncement {
+		Objects.requireNonNull(instance, "instance");
+		Objects.requireNonNull(service, "service");
+		Objects.requireNonNull(state, "state");
+		if (slots < 1) {
+			throw new IllegalArgumentException("Server has no slot: " + instance);
+		}
+	}
+
+}
--- /dev/null
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendConnection.java
@@ -0,0 +1,256 @@
+package org.wasabicart.mesh;
+
+import java.io.IOException;
+import java.util.Objects;
+import java.util.function.Consumer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * One connection to the local backend server; carries one request at a time. Bytes that
+ * belong to no request end the connection, and an answer with another request's id is
+ * skipped.
+ */
+final class BackendConnection extends ChannelInboundHandlerAdapter {
+
+	/** Largest answer that is held in memory, in bytes; shares the VM's memory. */
+	static final int MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
+
+	private final String requestIdHeader;
+
+	private final Consumer<BackendConnection> idleListener;
+
+	private final BackendResponseDecoder decoder;
+
+	private Channel channel;
+
+	private Exchange exchange;
+
+	private HttpResponse head;
+
+	private CompositeByteBuf body;
+
+	private boolean reusable = true;
+
+	private boolean skipped;
+
+	private long idleSince;
+
+	private long serverIdleTimeout = -1;
+
+	BackendConnection(String requestIdHeader, BackendResponseDecoder decoder,
+			Consumer<BackendConnection> idleListener) {
+		this.requestIdHeader = Objects.requireNonNull(requestIdHeader, "requestIdHeader");
+		this.decoder = decoder;
+		this.idleListener = idleListener;
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext context) {
+		this.channel = context.channel();
+	}
+
+	/**
+	 * Sends a request.
+	 * @param request request
+	 * @param requestId id that the answer must carry
+	 * @param listener receives the outcome
+	 */
+	void send(FullHttpRequest request, String requestId, Exchange.Listener listener) {
+		this.exchange = new Exchange(requestId, listener);
+		this.skipped = false;
+		this.decoder.expect(request.method());
+		this.channel.writeAndFlush(request);
+	}
+
+	long idleSince() {
+		return this.idleSince;
+	}
+
+	/**
+	 * Returns how long the server keeps an idle connection open, as it stated.
+	 * @return the time in nanoseconds, or -1 if it did not state one
+	 */
+	long serverIdleTimeout() {
+		return this.serverIdleTimeout;
+	}
+
+	boolean open() {
+		return this.reusable && this.channel.isActive();
+	}
+
+	void close() {
+		this.reusable = false;
+		this.channel.close();
+	}
+
+	/**
+	 * Ends the connection without an outcome for the request on it.
+	 */
+	void abandon() {
+		this.exchange = null;
+		close();
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		try {
+			read((HttpObject) message);
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	private void read(HttpObject message) {
+		if (this.exchange == null) {
+			// Nothing is outstanding, so these bytes belong to no request.
+			close();
+			return;
+		}
+		if (message.decoderResult().isFailure()) {
+			fail("answer-not-http");
+			return;
+		}
+		if (message instanceof HttpResponse response) {
+			this.head = response;
+		}
+		if (this.head == null || this.head.status().code() < 200) {
+			return;
+		}
+		if (message instanceof HttpContent content && !append(content.content())) {
+			return;
+		}
+		if (message instanceof LastHttpContent) {
+			complete();
+		}
+	}
+
+	private boolean append(ByteBuf content) {
+		int size = content.readableBytes() + ((this.body != null) ? this.body.readableBytes() : 0);
+		if (size > MAXIMUM_BODY_BYTES) {
+			fail("answer-too-large");
+			return false;
+		}
+		if (content.isReadable()) {
+			if (this.body == null) {
+				this.body = this.channel.alloc().compositeHeapBuffer(Integer.MAX_VALUE);
+			}
+			this.body.addComponent(true, content.retain());
+		}
+		return true;
+	}
+
+	private void complete() {
+		HttpResponse response = this.head;
+		byte[] bytes = takeBody();
+		this.head = null;
+		if (!this.exchange.requestId.equals(response.headers().get(this.requestIdHeader))) {
+			// An extra answer to an earlier request. The expected one may follow.
+			this.reusable = false;
+			if (this.skipped) {
+				fail("answers-of-other-requests");
+			}
+			this.skipped = true;
+			this.decoder.expect(HttpMethod.GET);
+			return;
+		}
+		if (!HttpUtil.isKeepAlive(response) || !(HttpUtil.isContentLengthSet(response)
+				|| HttpUtil.isTransferEncodingChunked(response) || bytes.length == 0)) {
+			this.reusable = false;
+		}
+		this.serverIdleTimeout = KeepAliveTimeout.nanoseconds(response.headers().get(KeepAliveTimeout.HEADER));
+		Exchange ended = this.exchange;
+		this.exchange = null;
+		this.idleSince = System.nanoTime();
+		if (!this.reusable) {
+			close();
+		}
+		else {
+			this.idleListener.accept(this);
+		}
+		ended.listener.answered(new BackendAnswer(response, bytes));
+	}
+
+	private byte[] takeBody() {
+		if (this.body == null) {
+			return new byte[0];
+		}
+		byte[] bytes = new byte[this.body.readableBytes()];
+		this.body.readBytes(bytes);
+		this.body.release();
+		this.body = null;
+		return bytes;
+	}
+
+	private void fail(String reason) {
+		takeBody();
+		this.head = null;
+		Exchange failed = this.exchange;
+		this.exchange = null;
+		close();
+		if (failed != null) {
+			failed.listener.failed(reason);
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.reusable = false;
+		fail("connection-closed");
+		this.idleListener.accept(this);
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		fail((cause instanceof IOException) ? "connection-reset" : "connection-failed: " + cause);
+	}
+
+	/**
+	 * One request with the listener for its outcome.
+	 */
+	static final class Exchange {
+
+		private final String requestId;
+
+		private final Listener listener;
+
+		Exchange(String requestId, Listener listener) {
+			this.requestId = requestId;
+			this.listener = listener;
+		}
+
+		/**
+		 * Receives the outcome of one request.
+		 */
+		interface Listener {
+
+			/**
+			 * The server answered.
+			 * @param answer whole answer
+			 */
+			void answered(BackendAnswer answer);
+
+			/**
+			 * There is no whole answer; the request may have run.
+			 * @param reason reason for logs
+			 */
+			void failed(String reason);
+
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Call.java
@@ -0,0 +1,26 @@
+package org.wasabicart.mesh;
+
+import java.util.List;
+
+import org.wasabicart.wire.generated.mesh.MeshHeader;
+
+/**
+ * One call for a backend server.
+ *
+ * @param requestId id of the caller's attempt
+ * @param method HTTP method
+ * @param target path with query, unchanged
+ * @param headers header fields that are passed through
+ * @param body whole body; not copied, must not be modified
+ * @param deadline time in nanoseconds at which the caller stops waiting
+ * @param instance incarnation of the server that may run the call
+ * @param callerService service beside the entry node
+ * @param idempotent whether the call may run more than once
+ * @param rank order among waiting calls; the lowest goes first
+ * @param latestStart time in nanoseconds until which the call may wait for a slot
+ * @param route name of the route
+ */
+record Call(String requestId, String method, String target, List<MeshHeader> headers, byte[] body, long deadline,
+		String instance, String callerService, boolean idempotent, long rank, long latestStart, String route) {
+
+}
--- /dev/null
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallMessages.java
@@ -0,0 +1,99 @@
+package org.wasabicart.mesh;
+
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
+
+import org.wasabicart.core.mesh.GateRefusal;
+import org.wasabicart.core.mesh.MemberLoadReport;
+import org.wasabicart.wire.generated.mesh.MeshCall;
+import org.wasabicart.wire.generated.mesh.MeshFrame;
+import org.wasabicart.wire.generated.mesh.MeshLoad;
+import org.wasabicart.wire.generated.mesh.MeshReply;
+import org.wasabicart.wire.generated.mesh.MeshResult;
+
+/**
+ * Translates calls and outcomes to messages and back. Times travel as what is left, since
+ * the clocks of two VMs differ.
+ */
+final class CallMessages {
+
+	private CallMessages() {
+	}
+
+	static MeshFrame toFrame(Call call, long stream, long now) {
+		return MeshFrame.newBuilder()
+			.setCall(MeshCall.newBuilder()
+				.setStream(stream)
+				.setRequestId(call.requestId())
+				.setMethod(call.method())
+				.setTarget(call.target())
+				.addAllHeaders(call.headers())
+				.setBody(UnsafeByteOperations.unsafeWrap(call.body()))
+				.setRemainingMilliseconds(remaining(call.deadline(), now))
+				.setInstance(call.instance())
+				.setCallerService(call.callerService())
+				.setIdempotent(call.idempotent())
+				.setRank(call.rank())
+				.setPatienceMilliseconds(remaining(call.latestStart(), now))
+				.setRoute(call.route()))
+			.build();
+	}
+
+	private static int remaining(long time, long now) {
+		return (int) Math.max(0, Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(time - now)));
+	}
+
+	static Call toCall(MeshCall message, long now) {
+		return new Call(message.getRequestId(), message.getMethod(), message.getTarget(), message.getHeadersList(),
+				message.getBody().toByteArray(),
+				now + TimeUnit.MILLISECONDS.toNanos(message.getRemainingMilliseconds()), message.getInstance(),
+				message.getCallerService(), message.getIdempotent(), message.getRank(),
+				now + TimeUnit.MILLISECONDS.toNanos(message.getPatienceMilliseconds()), message.getRoute());
+	}
+
+	static MeshFrame toFrame(CallResult result, long stream, MemberLoadReport load) {
+		MeshReply.Builder reply = MeshReply.newBuilder().setStream(stream);
+		if (result instanceof CallResult.Answered answered) {
+			reply.setResult(MeshResult.ANSWERED)
+				.setStatus(answered.status())
+				.addAllHeaders(answered.headers())
+				.setBody(UnsafeByteOperations.unsafeWrap(answered.body()));
+		}
+		else if (result instanceof CallResult.Refused refused) {
+			reply.setResult(MeshResult.REFUSED).setReason(refused.reason().name()).setOffered(refused.offered());
+		}
+		else if (result instanceof CallResult.Failed failed) {
+			reply.setResult(MeshResult.FAILED).setReason(failed.reason());
+		}
+		if (load != null) {
+			reply.setLoad(
+					MeshLoad.newBuilder().setLimit(load.limit()).setRunning(load.running()).setWaiting(load.waiting()));
+		}
+		return MeshFrame.newBuilder().setReply(reply).build();
+	}
+
+	static CallResult toResult(MeshReply reply) {
+		return switch (reply.getResult()) {
+			case ANSWERED -> new CallResult.Answered(reply.getStatus(), reply.getHeadersList(), bytes(reply.getBody()));
+			case REFUSED -> new CallResult.Refused(refusal(reply.getReason()), reply.getOffered());
+			default -> new CallResult.Failed(reply.getReason());
+		};
+	}
+
+	private static byte[] bytes(ByteString body) {
+		return body.toByteArray();
+	}
+
+	private static GateRefusal refusal(String name) {
+		for (GateRefusal refusal : GateRefusal.values()) {
+			if (refusal.name().equals(name)) {
+				return refusal;
+			}
+		}
+		// A reason that only a newer node knows still says that the call has not run.
+		return GateRefusal.UNREACHABLE;
+	}
+
+}
--- /dev/null
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryConnection.java
@@ -0,0 +1,181 @@
+package org.wasabicart.mesh;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Objects;
+import java.util.function.BooleanSupplier;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.ReferenceCountUtil;
+
+import org.wasabicart.wire.generated.mesh.MeshHeader;
+
+/**
+ * One caller's connection. Requests run at the same time, answers go out in the order of
+ * the requests.
+ */
+final class EntryConnection extends ChannelInboundHandlerAdapter {
+
+	/** Requests on one connection that run at the same time. */
+	private static final int MAXIMUM_PIPELINED = 64;
+
+	private static final byte[] NO_BODY = {};
+
+	private final EntryHandler handler;
+
+	private final BooleanSupplier closing;
+
+	private final Deque<Slot> slots = new ArrayDeque<>();
+
+	private Channel channel;
+
+	private boolean closeSent;
+
+	EntryConnection(EntryHandler handler, BooleanSupplier closing) {
+		this.handler = Objects.requireNonNull(handler, "handler");
+		this.closing = Objects.requireNonNull(closing, "closing");
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext context) {
+		this.channel = context.channel();
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		try {
+			if (message instanceof FullHttpRequest request && !this.closeSent) {
+				request(request);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	private void request(FullHttpRequest request) {
+		Slot slot = new Slot(HttpUtil.isKeepAlive(request), HttpMethod.HEAD.equals(request.method()));
+		this.slots.add(slot);
+		if (request.decoderResult().isFailure()) {
+			slot.keepAlive = false;
+			slot.answer(EntryAnswer.own(HttpResponseStatus.BAD_REQUEST.code()));
+			return;
+		}
+		if (this.slots.size() >= MAXIMUM_PIPELINED) {
+			this.channel.config().setAutoRead(false);
+		}
+		slot.handle = this.handler.handle(request, this.channel.remoteAddress(), slot::answer);
+	}
+
+	private void flush() {
+		boolean written = false;
+		while (!this.slots.isEmpty() && this.slots.peekFirst().answer != null && !this.closeSent) {
+			Slot slot = this.slots.pollFirst();
+			write(slot);
+			written = true;
+		}
+		if (written) {
+			this.channel.flush();
+			if (!this.closeSent && this.slots.size() < MAXIMUM_PIPELINED) {
+				this.channel.config().setAutoRead(true);
+			}
+		}
+	}
+
+	private void write(Slot slot) {
+		EntryAnswer answer = slot.answer;
+		boolean close = !slot.keepAlive || this.closing.getAsBoolean() && this.slots.isEmpty();
+		byte[] body = slot.head ? NO_BODY : answer.body();
+		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.valueOf(answer.status()), Unpooled.wrappedBuffer(body));
+		for (MeshHeader field : answer.headers()) {
+			response.headers().add(field.getName(), field.getValue());
+		}
+		if (!slot.head && answer.status() != HttpResponseStatus.NO_CONTENT.code()
+				&& answer.status() != HttpResponseStatus.NOT_MODIFIED.code()) {
+			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
+		}
+		if (close) {
+			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+			this.closeSent = true;
+			this.channel.write(response).addListener(ChannelFutureListener.CLOSE);
+			cancelAll();
+		}
+		else {
+			this.channel.write(response, this.channel.voidPromise());
+		}
+	}
+
+	private void cancelAll() {
+		List<Slot> open = List.copyOf(this.slots);
+		this.slots.clear();
+		open.forEach(Slot::cancel);
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof IdleStateEvent && this.slots.isEmpty()) {
+			this.channel.close();
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.closeSent = true;
+		cancelAll();
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		context.close();
+	}
+
+	/**
+	 * One request in the order of arrival.
+	 */
+	private final class Slot {
+
+		private final boolean head;
+
+		private boolean keepAlive;
+
+		private CallHandle handle;
+
+		private EntryAnswer answer;
+
+		Slot(boolean keepAlive, boolean head) {
+			this.keepAlive = keepAlive;
+			this.head = head;
+		}
+
+		private void answer(EntryAnswer value) {
+			if (this.answer == null) {
+				this.answer = value;
+				flush();
+			}
+		}
+
+		private void cancel() {
+			if (this.answer == null && this.handle != null) {
+				this.handle.cancel();
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MemberEntries.java
@@ -0,0 +1,53 @@
+package org.wasabicart.mesh;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+
+import org.wasabicart.core.mesh.MeshMember;
+import org.wasabicart.core.mesh.ServerState;
+import org.wasabicart.core.model.FailureDomain;
+import org.wasabicart.core.model.NodeAddress;
+import org.wasabicart.core.model.NodeId;
+import org.wasabicart.core.model.RegionName;
+import org.wasabicart.core.model.ServiceName;
+import org.wasabicart.wire.generated.mesh.MeshMemberEntry;
+
+/**
+ * Translates servers to entries and back.
+ */
+final class MemberEntries {
+
+	private MemberEntries() {
+	}
+
+	static MeshMemberEntry toEntry(MeshMember member) {
+		return MeshMemberEntry.newBuilder()
+			.setNode(member.node().value())
+			.setHost(member.address().host())
+			.setPort(member.address().port())
+			.setFailureDomain(member.failureDomain().value())
+			.setRegion(member.region().value())
+			.setService(member.service().value())
+			.setInstance(member.instance())
+			.setSlots(member.slots())
+			.setDraining(member.state() == ServerState.DRAINING)
+			.build();
+	}
+
+	/**
+	 * Reads an entry.
+	 * @param entry entry
+	 * @return the server
+	 * @throws IllegalArgumentException if a field is not valid
+	 */
+	static MeshMember toMember(MeshMemberEntry entry) {
+		return new MeshMember(new NodeId(entry.getNode()), new NodeAddress(entry.getHost(), entry.getPort()),
+				new FailureDomain(entry.getFailureDomain()), new RegionName(entry.getRegion()),
+				new ServiceName(entry.getService()), entry.getInstance(), entry.getSlots(),
+				entry.getDraining() ? ServerState.DRAINING : ServerState.READY);
+	}
+
+	static MeshMember toMember(byte[] value) throws InvalidProtocolBufferException {
+		return toMember(MeshMemberEntry.parseFrom(value));
+	}
+
+}
--- /dev/null
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -0,0 +1,340 @@
+package org.wasabicart.mesh;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.timeout.IdleStateHandler;
+import org.jboss.logging.Logger;
+
+import org.wasabicart.core.mesh.CallerLimits;
+import org.wasabicart.core.mesh.MeshConfiguration;
+import org.wasabicart.core.mesh.MeshMember;
+import org.wasabicart.core.model.NodeId;
+import org.wasabicart.wire.generated.mesh.MeshPing;
+
+/**
+ * One mesh node. All methods but {@link #close()} must be called on its event loop.
+ */
+public final class MeshNode {
+
+	private static final Logger logger = Logger.getLogger(MeshNode.class);
+
+	/** Resolution of timeouts that are not tied to one request. */
+	private static final long TICK_MILLISECONDS = 20;
+
+	/**
+	 * Time after a request to stop in which callers still arrive: they notice within two
+	 * readiness checks, one a second.
+	 */
+	private static final long STOP_MINIMUM = TimeUnit.MILLISECONDS.toNanos(2500);
+
+	/** Time before the end of the grace at which the process ends in any case. */
+	private static final long STOP_MARGIN = TimeUnit.MILLISECONDS.toNanos(400);
+
+	/** Largest body of a request that is held in memory; shares the VM's memory. */
+	private static final int MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
+
+	private static final int MAXIMUM_INITIAL_LINE_BYTES = 8 * 1024;
+
+	private static final int MAXIMUM_HEADER_BYTES = 64 * 1024;
+
+	private static final int MAXIMUM_CHUNK_BYTES = 64 * 1024;
+
+	private final MeshSettings settings;
+
+	private final EventLoop eventLoop;
+
+	private final StoreLayout layout;
+
+	private final ConfigurationDecoder decoder;
+
+	private final MeshStore store;
+
+	private final MeshMetrics metrics;
+
+	private final LocalBackend localBackend;
+
+	private final Peers peers;
+
+	private final EntryRouter router;
+
+	private final MemberEntryKeeper entryKeeper;
+
+	private final PrefixWatch memberWatch;
+
+	private final PrefixWatch configurationWatch;
+
+	private boolean membersKnown;
+
+	private boolean configurationRequested;
+
+	private boolean stopping;
+
+	private long stopStart;
+
+	/**
+	 * Creates a node.
+	 * @param settings settings
+	 * @param names names of header fields
+	 * @param layout keys of the store
+	 * @param decoder reads configurations
+	 * @param store store
+	 * @param eventLoop event loop of the node
+	 * @param random random source
+	 * @param metrics metrics
+	 */
+	public MeshNode(MeshSettings settings, CallHeaders names, StoreLayout layout, ConfigurationDecoder decoder,
+			MeshStore store, EventLoop eventLoop, RandomGenerator random, MeshMetrics metrics) {
+		this.settings = Objects.requireNonNull(settings, "settings");
+		this.layout = Objects.requireNonNull(layout, "layout");
+		this.decoder = Objects.requireNonNull(decoder, "decoder");
+		this.store = Objects.requireNonNull(store, "store");
+		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
+		this.metrics = Objects.requireNonNull(metrics, "metrics");
+		this.localBackend = new LocalBackend(settings, names, eventLoop, this::localChanged);
+		this.peers = new Peers(eventLoop, settings.nodeId(), this::ownPing, this::pinged);
+		this.router = new EntryRouter(settings, names, eventLoop, this.peers, this.localBackend, random, metrics,
+				new DecisionLog());
+		this.entryKeeper = new MemberEntryKeeper(store, eventLoop, layout.memberPrefix() + settings.nodeId());
+		this.memberWatch = new PrefixWatch(store, eventLoop, layout.memberPrefix(), this::allMembers,
+				this::changedMembers);
+		this.configurationWatch = new PrefixWatch(store, eventLoop, layout.configurationKey(), this::configurations,
+				this::configurations);
+	}
+
+	/**
+	 * Starts to listen and to follow the store.
+	 * @throws IOException if an address cannot be bound
+	 */
+	public void start() throws IOException {
+		listen(this.settings.entryAddress(), new ChannelInitializer<Channel>() {
+			@Override
+			protected void initChannel(Channel channel) {
+				entry(channel);
+			}
+		});
+		listen(this.settings.linkAddress(), new ChannelInitializer<Channel>() {
+			@Override
+			protected void initChannel(Channel channel) {
+				FrameCodec.addTo(channel.pipeline());
+				channel.pipeline()
+					.addLast(new ServerLink(MeshNode.this.localBackend, MeshNode.this::ownPing, MeshNode.this::pinged));
+			}
+		});
+		this.configurationWatch.start();
+		this.memberWatch.start();
+		this.entryKeeper.start();
+		this.eventLoop.scheduleWithFixedDelay(this::tick, TICK_MILLISECONDS, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+		logger.infof("event=node-started node=%s failure_domain=%s region=%s service=%s", this.settings.nodeId(),
+				this.settings.failureDomain(), this.settings.region(), this.settings.service());
+	}
+
+	private void listen(InetSocketAddress address, ChannelInitializer<Channel> handler) throws IOException {
+		ChannelFuture bound = Sockets.listen(this.eventLoop, address, handler).awaitUninterruptibly();
+		if (!bound.isSuccess()) {
+			throw new IOException("Cannot listen on " + address, bound.cause());
+		}
+
+	}
+
+	private void entry(Channel channel) {
+		MeshConfiguration current = this.router.configuration();
+		CallerLimits limits = (current != null) ? current.limits() : CallerLimits.DEFAULT;
+		channel.pipeline()
+			.addLast(new HttpRequestDecoder(MAXIMUM_INITIAL_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES),
+					new HttpResponseEncoder(), new HttpObjectAggregator(MAXIMUM_BODY_BYTES),
+					new IdleStateHandler(0, 0, limits.idleTimeout().toMillis(), TimeUnit.MILLISECONDS),
+					new EntryConnection(this.router, () -> this.stopping));
+	}
+
+	/**
+	 * Takes a heartbeat of the local backend server.
+	 * @param announcement heartbeat
+	 */
+	public void announced(BackendAnnouncement announcement) {
+		this.localBackend.announced(announcement);
+	}
+
+	/**
+	 * The local backend server has deregistered.
+	 * @param instance id of the server
+	 */
+	public void deregistered(String instance) {
+		this.localBackend.deregistered(instance);
+	}
+
+	/**
+	 * Returns whether callers should send requests to this node.
+	 * @return whether the node is ready
+	 */
+	public boolean ready() {
+		return !this.stopping && this.router.configuration() != null && this.membersKnown;
+	}
+
+	/**
+	 * Returns the metrics in text form.
+	 * @return the metrics
+	 */
+	public MeshMetrics metrics() {
+		return this.metrics;
+	}
+
+	private void localChanged() {
+		MeshMember member = this.localBackend.member();
+		this.router.localMember(member);
+		this.entryKeeper.publish((member != null) ? MemberEntries.toEntry(member).toByteArray() : null);
+	}
+
+	private MeshPing ownPing() {
+		MeshPing.Builder ping = MeshPing.newBuilder().setAcknowledgement(true);
+		MeshConfiguration current = this.router.configuration();
+		if (current != null) {
+			ping.setConfigurationVersion(current.version());
+		}
+		MeshMember member = this.localBackend.member();
+		if (member != null) {
+			ping.setMember(MemberEntries.toEntry(member));
+		}
+		return ping.build();
+	}
+
+	private void pinged(MeshPing ping) {
+		MeshConfiguration current = this.router.configuration();
+		boolean newer = current == null || Long.compareUnsigned(ping.getConfigurationVersion(), current.version()) > 0;
+		if (newer && !this.configurationRequested) {
+			this.configurationRequested = true;
+			this.store.get(this.layout.configurationKey()).whenComplete((item, failure) -> {
+				this.configurationRequested = false;
+				if (failure == null) {
+					configuration(item);
+				}
+			});
+		}
+	}
+
+	private void configurations(MeshStore.StoredItems items) {
+		items.items().forEach(this::configuration);
+	}
+
+	private void configuration(MeshStore.StoredItem item) {
+		if (!item.key().equals(this.layout.configurationKey()) || item.value() == null) {
+			return;
+		}
+		try {
+			MeshConfiguration candidate = this.decoder.decode(item.value());
+			if (this.router.adopt(candidate)) {
+				logger.infof("event=configuration-in-force version=%08x revision=%d routes=%d", candidate.version(),
+						item.revision(), candidate.routes().size());
+			}
+		}
+		catch (ConfigurationUnreadableException ex) {
+			logger.warnf("event=configuration-unreadable revision=%d reason=\"%s\"", item.revision(), ex.getMessage());
+		}
+	}
+
+	private void allMembers(MeshStore.StoredItems items) {
+		List<MeshMember> members = new ArrayList<>();
+		boolean own = false;
+		for (MeshStore.StoredItem item : items.items()) {
+			MeshMember member = member(item);
+			if (member != null) {
+				members.add(member);
+				own |= member.node().equals(this.settings.nodeId());
+			}
+		}
+		this.peers.announced(members);
+		this.membersKnown = true;
+		if (!own) {
+			this.entryKeeper.missing();
+		}
+	}
+
+	private void changedMembers(MeshStore.StoredItems items) {
+		for (MeshStore.StoredItem item : items.items()) {
+			if (item.value() == null) {
+				removed(item.key().substring(this.layout.memberPrefix().length()));
+				continue;
+			}
+			MeshMember member = member(item);
+			if (member != null) {
+				this.peers.announced(member);
+			}
+		}
+	}
+
+	private void removed(String name) {
+		if (name.equals(this.settings.nodeId().value())) {
+			if (this.localBackend.member() != null) {
+				this.entryKeeper.missing();
+			}
+			return;
+		}
+		try {
+			this.peers.missing(new NodeId(name));
+		}
+		catch (IllegalArgumentException ex) {
+			logger.debugf("event=entry-foreign key=%s", name);
+		}
+	}
+
+	private MeshMember member(MeshStore.StoredItem item) {
+		try {
+			return MemberEntries.toMember(item.value());
+		}
+		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
+			logger.warnf("event=entry-unreadable key=%s revision=%d reason=\"%s\"", item.key(), item.revision(),
+					ex.getMessage());
+			return null;
+		}
+	}
+
+	private void tick() {
+		long now = System.nanoTime();
+		this.localBackend.tick(now);
+		this.peers.tick(now, this.memberWatch.reachable());
+	}
+
+	/**
+	 * Stops gracefully: takes no more work and waits for what is in progress. Called on a
+	 * thread other than the event loop.
+	 */
+	public void close() {
+		logger.infof("event=node-stopping node=%s", this.settings.nodeId());
+		this.eventLoop.submit(() -> {
+			this.stopping = true;
+			this.stopStart = System.nanoTime();
+			this.localBackend.stop();
+		}).awaitUninterruptibly();
+		long grace = this.settings.grace().toNanos() - STOP_MARGIN;
+		while (!this.eventLoop.submit(() -> stopped(grace)).awaitUninterruptibly().getNow()) {
+			try {
+				TimeUnit.MILLISECONDS.sleep(TICK_MILLISECONDS);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return;
+			}
+		}
+		logger.infof("event=node-stopped node=%s", this.settings.nodeId());
+	}
+
+	private boolean stopped(long grace) {
+		long elapsed = System.nanoTime() - this.stopStart;
+		boolean idle = this.router.active() == 0 && this.localBackend.active() == 0;
+		return elapsed > grace || idle && elapsed > STOP_MINIMUM;
+	}
+
+}
--- /dev/null
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshSettings.java
@@ -0,0 +1,43 @@
+package org.wasabicart.mesh;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Objects;
+
+import org.wasabicart.core.model.FailureDomain;
+import org.wasabicart.core.model.NodeId;
+import org.wasabicart.core.model.RegionName;
+import org.wasabicart.core.model.ServiceName;
+
+/**
+ * Settings of one mesh node.
+ *
+ * @param nodeId id of the node
+ * @param failureDomain failure domain of the VM
+ * @param region region of the failure domain
+ * @param service service of the backend server on this VM
+ * @param backendAddress address of the backend server on this VM
+ * @param entryAddress address for callers on this VM
+ * @param linkAddress address for calls from other nodes
+ * @param drainTime time within which a leaving server stops getting calls
+ * @param grace time between the request to stop and the end of the process
+ * @param repeats bounds on repeated sends
+ */
+public record MeshSettings(NodeId nodeId, FailureDomain failureDomain, RegionName region, ServiceName service,
+		InetSocketAddress backendAddress, InetSocketAddress entryAddress, InetSocketAddress linkAddress,
+		Duration drainTime, Duration grace, RepeatSettings repeats) {
+
+	public MeshSettings {
+		Objects.requireNonNull(nodeId, "nodeId");
+		Objects.requireNonNull(failureDomain, "failureDomain");
+		Objects.requireNonNull(region, "region");
+		Objects.requireNonNull(service, "service");
+		Objects.requireNonNull(backendAddress, "backendAddress");
+		Objects.requireNonNull(entryAddress, "entryAddress");
+		Objects.requireNonNull(linkAddress, "linkAddress");
+		Objects.requireNonNull(drainTime, "drainTime");
+		Objects.requireNonNull(grace, "grace");
+		Objects.requireNonNull(repeats, "repeats");
+	}
+
+}
--- /dev/null
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peers.java
@@ -0,0 +1,147 @@
+package org.wasabicart.mesh;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import io.netty.channel.EventLoop;
+import org.jboss.logging.Logger;
+
+import org.wasabicart.core.mesh.MemberStatus;
+import org.wasabicart.core.mesh.MeshMember;
+import org.wasabicart.core.model.NodeId;
+import org.wasabicart.core.model.ServiceName;
+import org.wasabicart.wire.generated.mesh.MeshPing;
+
+/**
+ * The other nodes that this node knows.
+ */
+final class Peers {
+
+	private static final Logger logger = Logger.getLogger(Peers.class);
+
+	/**
+	 * Time that a node without an entry in the store is still used while it answers: its
+	 * entry may have lapsed with the store, and is back within two seconds.
+	 */
+	private static final long MISSING_ENTRY_TIME = TimeUnit.MILLISECONDS.toNanos(2500);
+
+	private final EventLoop eventLoop;
+
+	private final NodeId self;
+
+	private final Supplier<MeshPing> ownPing;
+
+	private final Consumer<MeshPing> pingListener;
+
+	private final Map<NodeId, Peer> peers = new HashMap<>();
+
+	private final Map<NodeId, Long> missingSince = new HashMap<>();
+
+	private final Map<ServiceName, List<MemberStatus>> byService = new HashMap<>();
+
+	Peers(EventLoop eventLoop, NodeId self, Supplier<MeshPing> ownPing, Consumer<MeshPing> pingListener) {
+		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
+		this.self = Objects.requireNonNull(self, "self");
+		this.ownPing = ownPing;
+		this.pingListener = pingListener;
+	}
+
+	/**
+	 * A node announced its server, in the store or on a link.
+	 * @param member server
+	 */
+	void announced(MeshMember member) {
+		if (member.node().equals(this.self)) {
+			return;
+		}
+		this.missingSince.remove(member.node());
+		Peer peer = this.peers.get(member.node());
+		if (peer == null) {
+			logger.infof("event=member-found node=%s service=%s instance=%s state=%s", member.node(), member.service(),
+					member.instance(), member.state());
+			peer = new Peer(member, this.eventLoop, this.ownPing, this.pingListener);
+			this.peers.put(member.node(), peer);
+			peer.tick(System.nanoTime());
+			index();
+		}
+		else if (!peer.status().member().equals(member)) {
+			logger.infof("event=member-changed node=%s service=%s instance=%s state=%s", member.node(),
+					member.service(), member.instance(), member.state());
+			boolean moved = !peer.status().member().service().equals(member.service());
+			peer.announced(member);
+			if (moved) {
+				index();
+			}
+		}
+	}
+
+	/**
+	 * A node's entry is missing from the store.
+	 * @param node node
+	 */
+	void missing(NodeId node) {
+		if (this.peers.containsKey(node)) {
+			this.missingSince.putIfAbsent(node, System.nanoTime());
+		}
+	}
+
+	/**
+	 * Replaces all entries of the store.
+	 * @param members servers in the store
+	 */
+	void announced(Collection<MeshMember> members) {
+		members.forEach(this::announced);
+		List<NodeId> present = members.stream().map(MeshMember::node).toList();
+		this.peers.keySet().stream().filter((node) -> !present.contains(node)).toList().forEach(this::missing);
+	}
+
+	private void index() {
+		this.byService.clear();
+		this.peers.values()
+			.forEach((peer) -> this.byService
+				.computeIfAbsent(peer.status().member().service(), (service) -> new ArrayList<>())
+				.add(peer.status()));
+	}
+
+	List<MemberStatus> of(ServiceName service) {
+		return this.byService.getOrDefault(service, List.of());
+	}
+
+	Peer get(NodeId node) {
+		return this.peers.get(node);
+	}
+
+	int size() {
+		return this.peers.size();
+	}
+
+	void tick(long now, boolean storeReachable) {
+		if (storeReachable) {
+			List<NodeId> gone = this.missingSince.entrySet()
+				.stream()
+				.filter((entry) -> now - entry.getValue() > MISSING_ENTRY_TIME)
+				.map(Map.Entry::getKey)
+				.toList();
+			gone.forEach(this::remove);
+		}
+		for (Peer peer : this.peers.values()) {
+			peer.tick(now);
+		}
+	}
+
+	private void remove(NodeId node) {
+		this.missingSince.remove(node);
+		Peer peer = this.peers.remove(node);
+		logger.infof("event=member-gone node=%s service=%s", node, peer.status().member().service());
+		index();
+		peer.remove();
+	}
+
+}
--- /dev/null
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ServerLink.java
@@ -0,0 +1,100 @@
+package org.wasabicart.mesh;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.jboss.logging.Logger;
+
+import org.wasabicart.wire.generated.mesh.MeshCall;
+import org.wasabicart.wire.generated.mesh.MeshFrame;
+import org.wasabicart.wire.generated.mesh.MeshPing;
+
+/**
+ * Serving side of a link: passes calls of one other node to the local backend server.
+ */
+final class ServerLink extends SimpleChannelInboundHandler<MeshFrame> {
+
+	private static final Logger logger = Logger.getLogger(ServerLink.class);
+
+	private final LocalBackend backend;
+
+	private final Supplier<MeshPing> ownPing;
+
+	private final Consumer<MeshPing> pingListener;
+
+	private final Map<Long, CallHandle> calls = new HashMap<>();
+
+	private Channel channel;
+
+	ServerLink(LocalBackend backend, Supplier<MeshPing> ownPing, Consumer<MeshPing> pingListener) {
+		super(MeshFrame.class);
+		this.backend = Objects.requireNonNull(backend, "backend");
+		this.ownPing = ownPing;
+		this.pingListener = pingListener;
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext context) {
+		this.channel = context.channel();
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext context, MeshFrame frame) {
+		switch (frame.getContentCase()) {
+			case CALL -> call(frame.getCall());
+			case CANCEL -> cancel(frame.getCancel().getStream());
+			case PING -> {
+				this.pingListener.accept(frame.getPing());
+				if (!frame.getPing().getAcknowledgement()) {
+					write(MeshFrame.newBuilder().setPing(this.ownPing.get()).build());
+				}
+			}
+			default -> logger.debugf("event=frame-ignored content=%s", frame.getContentCase());
+		}
+	}
+
+	private void call(MeshCall message) {
+		long stream = message.getStream();
+		boolean[] ended = new boolean[1];
+		CallHandle handle = this.backend.handle(CallMessages.toCall(message, System.nanoTime()), (result) -> {
+			ended[0] = true;
+			this.calls.remove(stream);
+			write(CallMessages.toFrame(result, stream, this.backend.load()));
+		});
+		if (!ended[0]) {
+			this.calls.put(stream, handle);
+		}
+	}
+
+	private void cancel(long stream) {
+		CallHandle handle = this.calls.remove(stream);
+		if (handle != null) {
+			handle.cancel();
+		}
+	}
+
+	private void write(MeshFrame frame) {
+		this.channel.writeAndFlush(frame, this.channel.voidPromise());
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		List<CallHandle> open = List.copyOf(this.calls.values());
+		this.calls.clear();
+		open.forEach(CallHandle::cancel);
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		logger.debugf("event=link-failed peer=%s reason=\"%s\"", context.channel().remoteAddress(), cause);
+		context.close();
+	}
+
+}
--- /dev/null
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/StandardOutputLog.java
@@ -0,0 +1,97 @@
+package org.wasabicart.mesh;
+
+import java.io.PrintStream;
+import java.time.Instant;
+import java.util.Objects;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/**
+ * Writes log lines from a thread of its own. A reader that does not keep up loses lines,
+ * which are counted; the threads that log never wait.
+ */
+public final class StandardOutputLog extends Handler {
+
+	/** Lines that wait to be written: some seconds at the highest rate. */
+	private static final int QUEUED_LINES = 2048;
+
+	private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(QUEUED_LINES);
+
+	private final AtomicLong lost = new AtomicLong();
+
+	private final PrintStream output;
+
+	private StandardOutputLog(PrintStream output) {
+		this.output = Objects.requireNonNull(output, "output");
+	}
+
+	/**
+	 * Directs all logging of the process to an output.
+	 * @param output output
+	 * @param level lowest level that is logged
+	 */
+	public static void install(PrintStream output, Level level) {
+		LogManager.getLogManager().reset();
+		StandardOutputLog handler = new StandardOutputLog(output);
+		Logger root = Logger.getLogger("");
+		root.addHandler(handler);
+		root.setLevel(level);
+		Thread writer = new Thread(handler::write, "log");
+		writer.setDaemon(true);
+		writer.start();
+	}
+
+	@Override
+	public void publish(LogRecord record) {
+		if (!isLoggable(record)) {
+			return;
+		}
+		String line = Instant.ofEpochMilli(record.getMillis()) + " level=" + record.getLevel() + " logger="
+				+ simpleName(record.getLoggerName()) + " " + record.getMessage()
+				+ ((record.getThrown() != null) ? " exception=\"" + record.getThrown() + "\"" : "");
+		if (!this.lines.offer(line)) {
+			this.lost.incrementAndGet();
+		}
+	}
+
+	private static String simpleName(String loggerName) {
+		return (loggerName != null) ? loggerName.substring(loggerName.lastIndexOf('.') + 1) : "";
+	}
+
+	private void write() {
+		try {
+			while (true) {
+				StringBuilder text = new StringBuilder(this.lines.take()).append('\n');
+				for (String line = this.lines.poll(); line != null; line = this.lines.poll()) {
+					text.append(line).append('\n');
+				}
+				long count = this.lost.getAndSet(0);
+				if (count > 0) {
+					text.append("event=log-lines-lost count=").append(count).append('\n');
+				}
+				this.output.print(text);
+				this.output.flush();
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	@Override
+	public void flush() {
+		this.output.flush();
+	}
+
+	@Override
+	public void close() {
+		flush();
+	}
+
+}
