--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ClientLink.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ClientLink.java
@@ -98,7 +98,7 @@
 		if (!this.pinging && silence > due) {
 			this.pinging = true;
 			this.pingSent = now;
-			write(MeshFrame.newBuilder().setPing(this.ownPing.get()).build());
+			write(MeshFrame.newBuilder().setPing(this.ownPing.get().toBuilder().setAcknowledgement(false)).build());
 		}
 	}
 
