--- /dev/null
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/mesh/SlotGateTests.java
@@ -0,0 +1,76 @@
+package org.wasabicart.core.mesh;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Plays demand beyond the slots of a server.
+ */
+class SlotGateTests {
+
+	private static final long MILLISECOND = 1_000_000;
+
+	private final List<String> events = new ArrayList<>();
+
+	private GateEntry entry(String name, long rank, long latestStart) {
+		return new GateEntry(rank, latestStart, new GateEntry.Listener() {
+			@Override
+			public void admitted() {
+				SlotGateTests.this.events.add(name + " admitted");
+			}
+
+			@Override
+			public void refused(GateRefusal refusal) {
+				SlotGateTests.this.events.add(name + " " + refusal);
+			}
+		});
+	}
+
+	@Test
+	void lowestRankGetsTheNextSlot() {
+		SlotGate gate = new SlotGate(1);
+		gate.offer(entry("running", 1, 0), 0);
+		gate.offer(entry("low", 9, 1000 * MILLISECOND), 0);
+		gate.offer(entry("high", 0, 1000 * MILLISECOND), 0);
+		gate.finished(MILLISECOND, MILLISECOND);
+		gate.finished(MILLISECOND, 2 * MILLISECOND);
+		assertThat(this.events).containsExactly("running admitted", "high admitted", "low admitted");
+	}
+
+	@Test
+	void callThatWouldStartTooLateIsRefusedAtOnce() {
+		SlotGate gate = new SlotGate(1);
+		gate.offer(entry("running", 1, 0), 0);
+		gate.offer(entry("impatient", 1, 5 * MILLISECOND), 0);
+		assertThat(this.events).containsExactly("running admitted", "impatient OVERLOADED");
+	}
+
+	@Test
+	void waitingCallIsRefusedOnceItsLatestStartHasPassed() {
+		SlotGate gate = new SlotGate(1);
+		gate.offer(entry("running", 1, 0), 0);
+		gate.offer(entry("waiting", 1, 50 * MILLISECOND), 0);
+		gate.expire(49 * MILLISECOND);
+		assertThat(this.events).hasSize(1);
+		gate.expire(51 * MILLISECOND);
+		assertThat(this.events).containsExactly("running admitted", "waiting OVERLOADED");
+	}
+
+	@Test
+	void slotIsNotLostWhenACallIsWithdrawn() {
+		SlotGate gate = new SlotGate(1);
+		gate.offer(entry("running", 1, 0), 0);
+		GateEntry withdrawn = entry("withdrawn", 1, 1000 * MILLISECOND);
+		gate.offer(withdrawn, 0);
+		gate.offer(entry("next", 2, 1000 * MILLISECOND), 0);
+		assertThat(gate.withdraw(withdrawn)).isTrue();
+		gate.finished(-1, MILLISECOND);
+		assertThat(this.events).containsExactly("running admitted", "next admitted");
+		assertThat(gate.running()).isEqualTo(1);
+	}
+
+}
--- /dev/null
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
@@ -0,0 +1,120 @@
+package org.wasabicart.mesh;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.junit.jupiter.api.Test;
+
+import org.wasabicart.core.mesh.GateRefusal;
+import org.wasabicart.core.mesh.MemberLoadReport;
+import org.wasabicart.core.model.FailureDomain;
+import org.wasabicart.core.model.NodeId;
+import org.wasabicart.core.model.RegionName;
+import org.wasabicart.core.model.ServiceName;
+import org.wasabicart.wire.generated.mesh.MeshFrame;
+import org.wasabicart.wire.generated.mesh.MeshPing;
+import org.wasabicart.wire.generated.mesh.MeshReply;
+import org.wasabicart.wire.generated.mesh.MeshResult;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against links that are taken for silent, and against calls that are told to have
+ * run, or not to have run, without evidence.
+ */
+class LinkTests {
+
+	private final List<String> events = new ArrayList<>();
+
+	private final ClientLink link = new ClientLink(MeshPing::getDefaultInstance, new RecordingListener());
+
+	private final EmbeddedChannel channel = new EmbeddedChannel(this.link);
+
+	private void send(String id, boolean idempotent) {
+		long now = System.nanoTime();
+		this.link.send(new Call(id, "GET", "/", List.of(), new byte[0], now + 1_000_000_000L, "i-1", "service",
+				idempotent, 0, now, "route"),
+				(result) -> this.events.add(id + " " + result.getClass().getSimpleName()));
+	}
+
+	@Test
+	void pingIsAnswered() {
+		MeshSettings settings = new MeshSettings(new NodeId("n"), new FailureDomain("d"), new RegionName("r"),
+				new ServiceName("s"), new InetSocketAddress("127.0.0.1", 1), new InetSocketAddress("127.0.0.1", 2),
+				new InetSocketAddress("127.0.0.1", 3), Duration.ofSeconds(2), Duration.ofSeconds(6),
+				new RepeatSettings(0.2));
+		LocalBackend backend = new LocalBackend(settings, TestHeaders.NAMES, this.channel.eventLoop(), () -> {
+		});
+		EmbeddedChannel server = new EmbeddedChannel(
+				new ServerLink(backend, () -> MeshPing.newBuilder().setAcknowledgement(true).build(), (ping) -> {
+				}));
+		this.link.tick(System.nanoTime() + TimeUnit.SECONDS.toNanos(3));
+		MeshFrame ping = this.channel.readOutbound();
+		server.writeInbound(ping);
+		MeshFrame answer = server.readOutbound();
+		assertThat(answer).isNotNull();
+		this.channel.writeInbound(answer);
+		assertThat(this.events).containsExactly("answering", "ping");
+	}
+
+	@Test
+	void onlyRepeatableCallsEndWhenTheOtherNodeIsSilent() {
+		send("order", false);
+		send("lookup", true);
+		long now = System.nanoTime();
+		this.link.tick(now + TimeUnit.SECONDS.toNanos(1));
+		this.link.tick(now + TimeUnit.SECONDS.toNanos(2));
+		assertThat(this.events).containsExactly("silent", "lookup Failed");
+		this.channel.writeInbound(MeshFrame.newBuilder()
+			.setReply(MeshReply.newBuilder().setStream(1).setResult(MeshResult.ANSWERED).setStatus(200))
+			.build());
+		assertThat(this.events).contains("order Answered", "answering");
+	}
+
+	@Test
+	void callsOnALostLinkMayHaveRun() {
+		send("order", false);
+		this.channel.close();
+		assertThat(this.events).containsExactly("closed", "order Failed");
+	}
+
+	@Test
+	void refusalOfANewerNodeStillSaysNotRun() {
+		MeshReply reply = MeshReply.newBuilder().setResult(MeshResult.REFUSED).setReason("LATER_REASON").build();
+		assertThat(CallMessages.toResult(reply)).isEqualTo(new CallResult.Refused(GateRefusal.UNREACHABLE, false));
+	}
+
+	private final class RecordingListener implements ClientLink.Listener {
+
+		@Override
+		public void load(MemberLoadReport load) {
+			LinkTests.this.events.add("load");
+		}
+
+		@Override
+		public void ping(MeshPing ping) {
+			LinkTests.this.events.add("ping");
+		}
+
+		@Override
+		public void silent() {
+			LinkTests.this.events.add("silent");
+		}
+
+		@Override
+		public void answering() {
+			LinkTests.this.events.add("answering");
+		}
+
+		@Override
+		public void closed() {
+			LinkTests.this.events.add("closed");
+		}
+
+	}
+
+}
