--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberStatus.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberStatus.java
@@ -7,6 +7,9 @@
  */
 public final class MemberStatus {
 
+	/** Weight of the newest call in the share of failed ones: about the last 20 calls. */
+	private static final double FAILED_SHARE_WEIGHT = 0.05;
+
 	private MeshMember member;
 
 	private MemberLoadReport report;
@@ -21,6 +24,8 @@
 
 	private boolean avoided;
 
+	private double failedShare;
+
 	/**
 	 * Creates a status.
 	 * @param member server
@@ -46,6 +51,7 @@
 		if (this.member != null && !this.member.instance().equals(announced.instance())) {
 			this.report = null;
 			this.avoided = false;
+			this.failedShare = 0;
 		}
 		this.member = announced;
 	}
@@ -65,6 +71,22 @@
 		this.inFlightAtReport = Math.min(this.inFlightAtReport, this.inFlight);
 	}
 
+	/**
+	 * Records whether the server did what it was asked.
+	 * @param failed whether it failed, for a reason other than load
+	 */
+	public void judged(boolean failed) {
+		this.failedShare += FAILED_SHARE_WEIGHT * ((failed ? 1 : 0) - this.failedShare);
+	}
+
+	/**
+	 * Returns the share of the last calls that failed.
+	 * @return the share, 0 to 1
+	 */
+	public double failedShare() {
+		return this.failedShare;
+	}
+
 	/**
 	 * Records the load that came with an answer.
 	 * @param load load
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/Placement.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/Placement.java
@@ -29,6 +29,9 @@
 	/** Spreads nodes that see the same loads. */
 	private static final double SPREAD = 0.03;
 
+	/** Load that outweighs a server which fails all calls. */
+	private static final double FAILED_FACTOR = 2;
+
 	private final FailureDomain failureDomain;
 
 	private final RegionName region;
@@ -51,14 +54,16 @@
 	 * Chooses a server.
 	 * @param candidates servers of the service
 	 * @param excluded nodes that this request must not use again
+	 * @param ownRegion whether servers of other regions are left out
 	 * @param now current time in nanoseconds
 	 * @return the choice, or null if no server takes new work
 	 */
-	public MemberStatus choose(Iterable<MemberStatus> candidates, Predicate<NodeId> excluded, long now) {
+	public MemberStatus choose(Iterable<MemberStatus> candidates, Predicate<NodeId> excluded, boolean ownRegion,
+			long now) {
 		MemberStatus best = null;
 		double bestCost = Double.MAX_VALUE;
 		for (MemberStatus candidate : candidates) {
-			if (!candidate.usable(now) || excluded.test(candidate.member().node())) {
+			if (!candidate.usable(now) || ownRegion && !near(candidate) || excluded.test(candidate.member().node())) {
 				continue;
 			}
 			double cost = cost(candidate);
@@ -70,10 +75,15 @@
 		return best;
 	}
 
+	private boolean near(MemberStatus candidate) {
+		return candidate.member().region().equals(this.region);
+	}
+
 	private double cost(MemberStatus candidate) {
 		double load = candidate.load();
-		double cost = load + BUSY_FACTOR * Math.max(0, load - BUSY_LOAD) + this.random.nextDouble() * SPREAD;
-		if (!candidate.member().region().equals(this.region)) {
+		double cost = load + BUSY_FACTOR * Math.max(0, load - BUSY_LOAD) + FAILED_FACTOR * candidate.failedShare()
+				+ this.random.nextDouble() * SPREAD;
+		if (!near(candidate)) {
 			return cost + REGION_MARGIN;
 		}
 		return candidate.member().failureDomain().equals(this.failureDomain) ? cost : cost + DOMAIN_MARGIN;
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/RepeatBudget.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/RepeatBudget.java
@@ -15,14 +15,14 @@
 	private double tokens;
 
 	/**
-	 * Creates a budget that starts with one repeat.
+	 * Creates a budget that starts without a repeat.
 	 * @param earnedPerRequest repeats that each first send earns
 	 * @param maximum largest number of repeats that are kept for later, at least 1
 	 */
 	public RepeatBudget(double earnedPerRequest, double maximum) {
 		this.earnedPerRequest = earnedPerRequest;
 		this.maximum = Math.max(1, maximum);
-		this.tokens = 1;
+		this.tokens = 0;
 	}
 
 	/**
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/SlotGate.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/SlotGate.java
@@ -62,6 +62,14 @@
 		return this.limit;
 	}
 
+	/**
+	 * Returns the mean time of a call in its slot.
+	 * @return the time in nanoseconds
+	 */
+	public long serviceTime() {
+		return (long) this.serviceTime;
+	}
+
 	/**
 	 * Returns the number of calls that hold a slot.
 	 * @return the number
--- /dev/null
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/mesh/EntryThrottleTests.java
@@ -0,0 +1,85 @@
+package org.wasabicart.core.mesh;
+
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Plays demand beyond the capacity of a service deep in the call graph and checks how
+ * many requests callers get answered and how many fail after work was spent on them.
+ */
+class EntryThrottleTests {
+
+	private static final int REQUESTS_PER_SECOND = 100;
+
+	/** Requests that a server's slots take at once. */
+	private static final int BURST = 10;
+
+	private EntryThrottle throttle = throttle(3);
+
+	private long now;
+
+	private int refused;
+
+	private int failed;
+
+	private int served;
+
+	private static EntryThrottle throttle(int priority) {
+		return new EntryThrottle(priority, new SplittableRandom(1));
+	}
+
+	private void play(int seconds, int capacityPerSecond) {
+		this.refused = 0;
+		this.failed = 0;
+		this.served = 0;
+		double free = 0;
+		for (int second = 0; second < seconds; second++) {
+			for (int i = 0; i < REQUESTS_PER_SECOND; i++) {
+				free = Math.min(BURST, free + (double) capacityPerSecond / REQUESTS_PER_SECOND);
+				this.now += 1_000_000_000L / REQUESTS_PER_SECOND;
+				if (!this.throttle.admit(this.now)) {
+					this.refused++;
+					continue;
+				}
+				boolean succeeded = free >= 1;
+				free -= succeeded ? 1 : 0;
+				this.throttle.ended(succeeded, this.now);
+				this.served += succeeded ? 1 : 0;
+				this.failed += succeeded ? 0 : 1;
+			}
+		}
+	}
+
+	@Test
+	void nothingIsRefusedWithinTheCapacity() {
+		play(20, REQUESTS_PER_SECOND);
+		assertThat(this.refused).isZero();
+	}
+
+	@Test
+	void fewRequestsFailHalfWayOnceTheOverloadIsKnown() {
+		play(5, 60);
+		play(20, 60);
+		assertThat(this.failed).isLessThan(20 * 60 / 5);
+		assertThat(this.served).isGreaterThan(20 * 60 * 9 / 10);
+	}
+
+	@Test
+	void highestPriorityIsNotRefusedWhileMoreThanHalfIsServed() {
+		this.throttle = throttle(0);
+		play(20, 60);
+		assertThat(this.refused).isZero();
+	}
+
+	@Test
+	void everythingIsLetThroughWithinTheWindowAfterTheOverload() {
+		play(20, 30);
+		play(4, REQUESTS_PER_SECOND);
+		play(5, REQUESTS_PER_SECOND);
+		assertThat(this.refused).isLessThan(5);
+	}
+
+}
--- a/wasabicart-core/src/test/java/org/wasabicart/core/mesh/PlacementTests.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/mesh/PlacementTests.java
@@ -37,7 +37,7 @@
 	}
 
 	private MemberStatus choose() {
-		return this.placement.choose(List.of(this.near, this.beside, this.far), (node) -> false, 0);
+		return this.placement.choose(List.of(this.near, this.beside, this.far), (node) -> false, false, 0);
 	}
 
 	@Test
@@ -61,6 +61,21 @@
 		assertThat(choose()).isSameAs(this.far);
 	}
 
+	@Test
+	void overloadedRegionIsNotLeft() {
+		this.near.reachable(false);
+		this.beside.reachable(false);
+		assertThat(this.placement.choose(List.of(this.near, this.beside, this.far), (node) -> false, true, 0)).isNull();
+	}
+
+	@Test
+	void serverThatFailsLosesItsWork() {
+		for (int i = 0; i < 20; i++) {
+			this.near.judged(i % 2 == 0);
+		}
+		assertThat(choose()).isSameAs(this.beside);
+	}
+
 	@Test
 	void avoidedServerComesBack() {
 		this.near.avoid(10);
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Call.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Call.java
@@ -16,11 +16,11 @@
  * @param instance incarnation of the server that may run the call
  * @param callerService service beside the entry node
  * @param idempotent whether the call may run more than once
- * @param rank order among waiting calls; the lowest goes first
+ * @param priority rank of the route; 0 is the highest
  * @param latestStart time in nanoseconds until which the call may wait for a slot
  * @param route name of the route
  */
 record Call(String requestId, String method, String target, List<MeshHeader> headers, byte[] body, long deadline,
-		String instance, String callerService, boolean idempotent, long rank, long latestStart, String route) {
+		String instance, String callerService, boolean idempotent, int priority, long latestStart, String route) {
 
 }
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallMessages.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallMessages.java
@@ -35,7 +35,7 @@
 				.setInstance(call.instance())
 				.setCallerService(call.callerService())
 				.setIdempotent(call.idempotent())
-				.setRank(call.rank())
+				.setPriority(call.priority())
 				.setPatienceMilliseconds(remaining(call.latestStart(), now))
 				.setRoute(call.route()))
 			.build();
@@ -49,12 +49,12 @@
 		return new Call(message.getRequestId(), message.getMethod(), message.getTarget(), message.getHeadersList(),
 				message.getBody().toByteArray(),
 				now + TimeUnit.MILLISECONDS.toNanos(message.getRemainingMilliseconds()), message.getInstance(),
-				message.getCallerService(), message.getIdempotent(), message.getRank(),
+				message.getCallerService(), message.getIdempotent(), message.getPriority(),
 				now + TimeUnit.MILLISECONDS.toNanos(message.getPatienceMilliseconds()), message.getRoute());
 	}
 
-	static MeshFrame toFrame(CallResult result, long stream, MemberLoadReport load) {
-		MeshReply.Builder reply = MeshReply.newBuilder().setStream(stream);
+	static MeshFrame toFrame(CallResult result, long stream, MemberLoadReport load, boolean nested) {
+		MeshReply.Builder reply = MeshReply.newBuilder().setStream(stream).setNested(nested);
 		if (result instanceof CallResult.Answered answered) {
 			reply.setResult(MeshResult.ANSWERED)
 				.setStatus(answered.status())
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ClientLink.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ClientLink.java
@@ -70,7 +70,7 @@
 
 	CallHandle send(Call call, CallListener callListener) {
 		long stream = this.nextStream++;
-		Stream entry = new Stream(call.idempotent(), callListener);
+		Stream entry = new Stream(call.route(), call.idempotent(), callListener);
 		this.streams.put(stream, entry);
 		write(CallMessages.toFrame(call, stream, System.nanoTime()));
 		return () -> {
@@ -157,6 +157,7 @@
 		}
 		Stream stream = this.streams.remove(reply.getStream());
 		if (stream != null) {
+			this.listener.nested(stream.route(), reply.getNested());
 			stream.listener.ended(CallMessages.toResult(reply));
 		}
 		if (this.closing && this.streams.isEmpty()) {
@@ -179,7 +180,7 @@
 		context.close();
 	}
 
-	private record Stream(boolean idempotent, CallListener listener) {
+	private record Stream(String route, boolean idempotent, CallListener listener) {
 
 	}
 
@@ -194,6 +195,13 @@
 		 */
 		void load(MemberLoadReport load);
 
+		/**
+		 * Whether a route is called by servers.
+		 * @param route name of the route
+		 * @param nested whether it is
+		 */
+		void nested(String route, boolean nested);
+
 		/**
 		 * The other node told its state.
 		 * @param ping state
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -23,6 +23,7 @@
 import io.netty.util.concurrent.Future;
 import org.jboss.logging.Logger;
 
+import org.wasabicart.core.mesh.EntryThrottle;
 import org.wasabicart.core.mesh.GateRefusal;
 import org.wasabicart.core.mesh.MemberStatus;
 import org.wasabicart.core.mesh.MeshConfiguration;
@@ -69,9 +70,18 @@
 	 */
 	private static final int EXTRA_SENDS = 3;
 
-	private static final int RANK_PRIORITY_SHIFT = 8;
+	/**
+	 * Nodes that may refuse for lack of room before the request is given up: the first
+	 * one had the lowest load.
+	 */
+	private static final int MAXIMUM_OVERLOADS = 2;
 
-	private static final long RANK_ROOT = 1L << 40;
+	/**
+	 * Part of the allowed repeats that one request may cause at one service: a request
+	 * that runs again makes its calls again, so the repeats of each depth add up at the
+	 * deepest service.
+	 */
+	private static final double REPEAT_SHARE = 0.25;
 
 	private static final byte[] NO_BODY = {};
 
@@ -99,6 +109,10 @@
 
 	private final Map<ServiceName, RepeatBudget> budgets = new HashMap<>();
 
+	private final Map<String, EntryThrottle> throttles = new HashMap<>();
+
+	private final Set<String> nestedRoutes = new HashSet<>();
+
 	private MeshConfiguration configuration;
 
 	private MemberStatus local;
@@ -131,7 +145,10 @@
 			return false;
 		}
 		this.configuration = candidate;
-		this.rotations.keySet().retainAll(candidate.routes().stream().map(MeshRoute::name).toList());
+		List<String> routes = candidate.routes().stream().map(MeshRoute::name).toList();
+		this.rotations.keySet().retainAll(routes);
+		this.throttles.keySet().retainAll(routes);
+		this.nestedRoutes.retainAll(routes);
 		return true;
 	}
 
@@ -170,9 +187,27 @@
 		}
 	}
 
+	/**
+	 * A node told whether a route is called by servers.
+	 * @param route name of the route
+	 * @param nested whether it is
+	 */
+	void nested(String route, boolean nested) {
+		if (nested) {
+			this.nestedRoutes.add(route);
+		}
+		else {
+			this.nestedRoutes.remove(route);
+		}
+	}
+
+	private EntryThrottle throttle(MeshRoute route) {
+		return this.throttles.computeIfAbsent(route.name(), (name) -> new EntryThrottle(route.priority(), this.random));
+	}
+
 	private RepeatBudget budget(ServiceName service) {
 		return this.budgets.computeIfAbsent(service,
-				(name) -> new RepeatBudget(this.settings.repeats().ratio() / 2, 3));
+				(name) -> new RepeatBudget(this.settings.repeats().ratio() * REPEAT_SHARE, 1));
 	}
 
 	/**
@@ -239,6 +274,12 @@
 
 		private int offers;
 
+		private int overloads;
+
+		private boolean throttled;
+
+		private CallResult.Answered failure;
+
 		private boolean ended;
 
 		Exchange(FullHttpRequest request, Consumer<EntryAnswer> listener) {
@@ -266,6 +307,11 @@
 			this.route = match.get();
 			this.service = EntryRouter.this.rotations.computeIfAbsent(this.route.name(), (name) -> new SplitRotation())
 				.next(this.route.shares());
+			if (!EntryRouter.this.nestedRoutes.contains(this.route.name()) && !throttle(this.route).admit(this.start)) {
+				refuse("throttled");
+				return;
+			}
+			this.throttled = true;
 			this.call = call(request);
 			budget(this.service).earn();
 			long left = this.call.deadline() - System.nanoTime();
@@ -278,23 +324,21 @@
 			long deadline = this.route.timeout()
 				.map((timeout) -> Math.min(callerDeadline, this.start + timeout.toNanos()))
 				.orElse(callerDeadline);
-			boolean nested = false;
 			long patience = this.route.targetLatency()
 				.map((target) -> (long) (target.toNanos() * PATIENCE_SHARE))
 				.orElse((long) ((callerDeadline - this.start) * PATIENCE_SHARE_OF_DEADLINE));
-			long rank = (nested ? 0 : RANK_ROOT) + ((long) this.route.priority() << RANK_PRIORITY_SHIFT);
 			byte[] body = request.content().isReadable() ? ByteBufUtil.getBytes(request.content()) : NO_BODY;
 			return new Call(this.requestId, request.method().name(), request.uri(),
 					HttpFields.endToEnd(request.headers(), EntryRouter.this.droppedHeaders), body, deadline, "",
-					EntryRouter.this.settings.service().value(), this.route.idempotent(), rank,
-					nested ? deadline : Math.min(deadline, this.start + patience), this.route.name());
+					EntryRouter.this.settings.service().value(), this.route.idempotent(), this.route.priority(),
+					Math.min(deadline, this.start + patience), this.route.name());
 		}
 
 		private void attempt() {
 			long now = System.nanoTime();
 			MemberStatus chosen = null;
-			if (this.sends < this.route.maximumAttempts() + EXTRA_SENDS) {
-				chosen = EntryRouter.this.placement.choose(candidates(), this.used::contains, now);
+			if (this.sends < this.route.maximumAttempts() + EXTRA_SENDS && this.overloads < MAXIMUM_OVERLOADS) {
+				chosen = choose(now);
 			}
 			if (chosen == null) {
 				refuse("no-server sends=" + this.sends);
@@ -305,7 +349,7 @@
 			this.used.add(chosen.member().node());
 			Call placed = new Call(this.call.requestId(), this.call.method(), this.call.target(), this.call.headers(),
 					this.call.body(), this.call.deadline(), chosen.member().instance(), this.call.callerService(),
-					this.call.idempotent(), this.call.rank(), this.call.latestStart(), this.call.route());
+					this.call.idempotent(), this.call.priority(), this.call.latestStart(), this.call.route());
 			this.handle = null;
 			CallHandle sent = EntryRouter.this.send(chosen, placed, this::ended);
 			if (this.handle == null) {
@@ -313,6 +357,10 @@
 			}
 		}
 
+		private MemberStatus choose(long now) {
+			return EntryRouter.this.placement.choose(candidates(), this.used::contains, this.overloads > 0, now);
+		}
+
 		private List<MemberStatus> candidates() {
 			return EntryRouter.this.candidates(this.service);
 		}
@@ -333,19 +381,31 @@
 		}
 
 		private void answered(CallResult.Answered answered) {
+			this.member.judged(answered.status() == HttpResponseStatus.INTERNAL_SERVER_ERROR.code());
 			if (answered.status() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()
 					&& answered.status() != HttpResponseStatus.GATEWAY_TIMEOUT.code() && mayRepeat()) {
 				this.offers++;
+				this.failure = answered;
 				repeat("status-" + answered.status());
 				return;
 			}
+			deliver(answered);
+		}
+
+		private void deliver(CallResult.Answered answered) {
+			recordCapacity(answered.status() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code());
 			answer(new EntryAnswer(answered.status(), answered.headers(), answered.body()), "answered");
 		}
 
+		private void recordCapacity(boolean succeeded) {
+			if (this.throttled) {
+				throttle(this.route).ended(succeeded, System.nanoTime());
+			}
+		}
+
 		private boolean mayRepeat() {
 			return this.route.idempotent() && this.offers + 1 < this.route.maximumAttempts()
-					&& EntryRouter.this.placement.choose(candidates(), this.used::contains, System.nanoTime()) != null
-					&& budget(this.service).spend();
+					&& choose(System.nanoTime()) != null && budget(this.service).spend();
 		}
 
 		private void repeat(String reason) {
@@ -359,6 +419,7 @@
 			switch (refused.reason()) {
 				case WRONG_INSTANCE, DRAINING -> this.member.avoid(now + AVOID_LEAVING);
 				case UNREACHABLE -> this.member.avoid(now + AVOID_UNREACHABLE);
+				case OVERLOADED, SHED -> this.overloads++;
 				default -> {
 				}
 			}
@@ -370,6 +431,7 @@
 		}
 
 		private void failed(CallResult.Failed failed) {
+			this.member.judged(true);
 			if (mayRepeat()) {
 				this.offers++;
 				repeat(failed.reason());
@@ -379,12 +441,22 @@
 					"event=request-failed request=%s route=%s node=%s instance=%s idempotent=%s reason=\"%s\"",
 					this.requestId, this.route.name(), this.member.member().node(), this.member.member().instance(),
 					this.route.idempotent(), failed.reason());
+			if (this.failure != null) {
+				deliver(this.failure);
+				return;
+			}
+			recordCapacity(true);
 			answer(EntryAnswer.own(HttpResponseStatus.BAD_GATEWAY.code()), "failed");
 		}
 
 		private void refuse(String reason) {
 			EntryRouter.this.decisions.log("event=request-refused request=%s route=%s service=%s sends=%d reason=%s",
 					this.requestId, (this.route != null) ? this.route.name() : "", this.service, this.sends, reason);
+			if (this.failure != null) {
+				deliver(this.failure);
+				return;
+			}
+			recordCapacity(false);
 			// Once the request was offered to a server that failed, it may have run.
 			if (this.offers > 0) {
 				answer(EntryAnswer.own(HttpResponseStatus.BAD_GATEWAY.code()), "failed");
@@ -413,6 +485,7 @@
 					this.requestId, this.route.name(), this.member.member().node(), this.sends,
 					TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.start));
 			CallHandle open = this.handle;
+			recordCapacity(false);
 			answer(EntryAnswer.own(HttpResponseStatus.GATEWAY_TIMEOUT.code()), "timeout");
 			if (open != null) {
 				open.cancel();
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -16,6 +17,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.jboss.logging.Logger;
 
+import org.wasabicart.core.mesh.CallOrigins;
+import org.wasabicart.core.mesh.CallRank;
 import org.wasabicart.core.mesh.GateEntry;
 import org.wasabicart.core.mesh.GateRefusal;
 import org.wasabicart.core.mesh.MemberLoadReport;
@@ -40,7 +43,7 @@
 	private static final long DEADLINE_SLACK = TimeUnit.MILLISECONDS.toNanos(150);
 
 	/** Time without which a call is not worth starting. */
-	private static final long MINIMUM_REMAINING = TimeUnit.MILLISECONDS.toNanos(5);
+	private static final long MINIMUM_REMAINING = TimeUnit.MILLISECONDS.toNanos(10);
 
 	private static final int STATUS_MISDIRECTED = 421;
 
@@ -48,12 +51,14 @@
 
 	private final CallHeaders names;
 
-	private final EventLoop eventLoop;
-
 	private final BackendPool pool;
 
 	private final Runnable changed;
 
+	private final IntSupplier knownServices;
+
+	private final CallOrigins origins = new CallOrigins();
+
 	private final Set<Running> running = new HashSet<>();
 
 	private BackendAnnouncement current;
@@ -68,11 +73,12 @@
 
 	private long drainEnd;
 
-	LocalBackend(MeshSettings settings, CallHeaders names, EventLoop eventLoop, Runnable changed) {
+	LocalBackend(MeshSettings settings, CallHeaders names, EventLoop eventLoop, Runnable changed,
+			IntSupplier knownServices) {
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.names = Objects.requireNonNull(names, "names");
-		this.eventLoop = eventLoop;
-		this.changed = changed;
+		this.changed = Objects.requireNonNull(changed, "changed");
+		this.knownServices = Objects.requireNonNull(knownServices, "knownServices");
 		this.pool = new BackendPool(eventLoop, settings.backendAddress(), names.requestId());
 	}
 
@@ -190,6 +196,15 @@
 		return (this.gate == null) ? 0 : this.gate.running() + this.gate.waiting();
 	}
 
+	/**
+	 * Returns whether a route of the server is called by servers.
+	 * @param route name of the route
+	 * @return whether it is
+	 */
+	boolean nested(String route) {
+		return this.origins.nested(route, this.knownServices.getAsInt());
+	}
+
 	/**
 	 * Passes a call to the server.
 	 * @param call call
@@ -197,7 +212,8 @@
 	 * @return handle to cancel the call
 	 */
 	CallHandle handle(Call call, CallListener listener) {
-		Running entry = new Running(call, listener);
+		this.origins.observe(call.route(), call.callerService());
+		Running entry = new Running(call, nested(call.route()), listener);
 		GateRefusal refusal = refusal(call);
 		if (refusal != null) {
 			entry.end(new CallResult.Refused(refusal, false));
@@ -208,6 +224,10 @@
 		return entry::cancel;
 	}
 
+	private long serviceTime() {
+		return (this.gate != null) ? this.gate.serviceTime() : 0;
+	}
+
 	private GateRefusal refusal(Call call) {
 		long now = System.nanoTime();
 		if (this.current == null || !this.current.instance().equals(call.instance())) {
@@ -295,10 +315,11 @@
 
 		private long started;
 
-		Running(Call call, CallListener listener) {
+		Running(Call call, boolean nested, CallListener listener) {
 			this.call = call;
 			this.listener = listener;
-			this.gateEntry = new GateEntry(call.rank(), call.latestStart(), this);
+			this.gateEntry = new GateEntry(CallRank.of(call.priority(), nested),
+					nested ? call.deadline() - Math.max(MINIMUM_REMAINING, serviceTime()) : call.latestStart(), this);
 			this.owner = LocalBackend.this.gate;
 		}
 
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -33,7 +33,7 @@
 	private static final Logger logger = Logger.getLogger(MeshNode.class);
 
 	/** Resolution of timeouts that are not tied to one request. */
-	private static final long TICK_MILLISECONDS = 20;
+	private static final long TICK_MILLISECONDS = 50;
 
 	/**
 	 * Time after a request to stop in which callers still arrive: they notice within two
@@ -104,8 +104,9 @@
 		this.store = Objects.requireNonNull(store, "store");
 		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
-		this.localBackend = new LocalBackend(settings, names, eventLoop, this::localChanged);
-		this.peers = new Peers(eventLoop, settings.nodeId(), this::ownPing, this::pinged);
+		this.localBackend = new LocalBackend(settings, names, eventLoop, this::localChanged, this::knownServices);
+		this.peers = new Peers(settings.nodeId(),
+				new PeerEnvironment(eventLoop, this::ownPing, this::pinged, this::nested));
 		this.router = new EntryRouter(settings, names, eventLoop, this.peers, this.localBackend, random, metrics,
 				new DecisionLog());
 		this.entryKeeper = new MemberEntryKeeper(store, eventLoop, layout.memberPrefix() + settings.nodeId());
@@ -192,6 +193,14 @@
 		return this.metrics;
 	}
 
+	private int knownServices() {
+		return this.peers.services();
+	}
+
+	private void nested(String route, boolean nested) {
+		this.router.nested(route, nested);
+	}
+
 	private void localChanged() {
 		MeshMember member = this.localBackend.member();
 		this.router.localMember(member);
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
@@ -3,13 +3,10 @@
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-import java.util.function.Supplier;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.EventLoop;
 import org.jboss.logging.Logger;
 
 import org.wasabicart.core.mesh.MemberLoadReport;
@@ -32,11 +29,7 @@
 
 	private static final long RECONNECT_PAUSE_MAXIMUM = TimeUnit.SECONDS.toNanos(2);
 
-	private final EventLoop eventLoop;
-
-	private final Supplier<MeshPing> ownPing;
-
-	private final Consumer<MeshPing> pingListener;
+	private final PeerEnvironment environment;
 
 	private final MemberStatus status;
 
@@ -50,11 +43,9 @@
 
 	private long reconnectPause = RECONNECT_PAUSE_MINIMUM;
 
-	Peer(MeshMember member, EventLoop eventLoop, Supplier<MeshPing> ownPing, Consumer<MeshPing> pingListener) {
+	Peer(MeshMember member, PeerEnvironment environment) {
 		this.status = new MemberStatus(member);
-		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
-		this.ownPing = ownPing;
-		this.pingListener = pingListener;
+		this.environment = Objects.requireNonNull(environment, "environment");
 		this.status.reachable(false);
 		this.nextConnect = System.nanoTime();
 	}
@@ -102,10 +93,11 @@
 
 	private void connect() {
 		this.connecting = true;
-		ClientLink opened = new ClientLink(this.ownPing, this);
+		ClientLink opened = new ClientLink(this.environment.ownPing(), this);
 		NodeAddress address = this.status.member().address();
-		ChannelFuture future = Sockets.connect(this.eventLoop, new InetSocketAddress(address.host(), address.port()),
-				CONNECT_TIMEOUT_MILLISECONDS, new ChannelInitializer<Channel>() {
+		ChannelFuture future = Sockets.connect(this.environment.eventLoop(),
+				new InetSocketAddress(address.host(), address.port()), CONNECT_TIMEOUT_MILLISECONDS,
+				new ChannelInitializer<Channel>() {
 					@Override
 					protected void initChannel(Channel channel) {
 						FrameCodec.addTo(channel.pipeline());
@@ -146,9 +138,14 @@
 		this.status.reported(load);
 	}
 
+	@Override
+	public void nested(String route, boolean nested) {
+		this.environment.nestedListener().nested(route, nested);
+	}
+
 	@Override
 	public void ping(MeshPing ping) {
-		this.pingListener.accept(ping);
+		this.environment.pingListener().accept(ping);
 	}
 
 	@Override
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peers.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peers.java
@@ -7,17 +7,13 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-import java.util.function.Supplier;
 
-import io.netty.channel.EventLoop;
 import org.jboss.logging.Logger;
 
 import org.wasabicart.core.mesh.MemberStatus;
 import org.wasabicart.core.mesh.MeshMember;
 import org.wasabicart.core.model.NodeId;
 import org.wasabicart.core.model.ServiceName;
-import org.wasabicart.wire.generated.mesh.MeshPing;
 
 /**
  * The other nodes that this node knows.
@@ -32,13 +28,9 @@
 	 */
 	private static final long MISSING_ENTRY_TIME = TimeUnit.MILLISECONDS.toNanos(2500);
 
-	private final EventLoop eventLoop;
-
 	private final NodeId self;
 
-	private final Supplier<MeshPing> ownPing;
-
-	private final Consumer<MeshPing> pingListener;
+	private final PeerEnvironment environment;
 
 	private final Map<NodeId, Peer> peers = new HashMap<>();
 
@@ -46,11 +38,9 @@
 
 	private final Map<ServiceName, List<MemberStatus>> byService = new HashMap<>();
 
-	Peers(EventLoop eventLoop, NodeId self, Supplier<MeshPing> ownPing, Consumer<MeshPing> pingListener) {
-		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
+	Peers(NodeId self, PeerEnvironment environment) {
 		this.self = Objects.requireNonNull(self, "self");
-		this.ownPing = ownPing;
-		this.pingListener = pingListener;
+		this.environment = Objects.requireNonNull(environment, "environment");
 	}
 
 	/**
@@ -66,7 +56,7 @@
 		if (peer == null) {
 			logger.infof("event=member-found node=%s service=%s instance=%s state=%s", member.node(), member.service(),
 					member.instance(), member.state());
-			peer = new Peer(member, this.eventLoop, this.ownPing, this.pingListener);
+			peer = new Peer(member, this.environment);
 			this.peers.put(member.node(), peer);
 			peer.tick(System.nanoTime());
 			index();
@@ -118,8 +108,8 @@
 		return this.peers.get(node);
 	}
 
-	int size() {
-		return this.peers.size();
+	int services() {
+		return this.byService.size();
 	}
 
 	void tick(long now, boolean storeReachable) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Sockets.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Sockets.java
@@ -8,14 +8,15 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import jdk.net.ExtendedSocketOptions;
 
 /**
- * Opens sockets with the options that all connections of a node share. Keep-alive probes
- * reveal connections that went silent without a reset.
+ * Opens sockets with the options that all connections of a node share. On connections
+ * that the node opens, keep-alive probes reveal that one went silent without a reset.
  */
 public final class Sockets {
 
@@ -31,6 +32,9 @@
 	/** Connections that wait to be accepted: a restart brings all callers at once. */
 	private static final int BACKLOG = 1024;
 
+	/** Bytes read at once: most messages fit, so that one system call reads them. */
+	private static final int READ_BYTES = 16 * 1024;
+
 	private Sockets() {
 	}
 
@@ -47,10 +51,7 @@
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
-			.childOption(ChannelOption.SO_KEEPALIVE, true)
-			.childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
-			.childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
-			.childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+			.childOption(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
 			.childHandler(handler)
 			.bind(address);
 	}
@@ -69,6 +70,7 @@
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMilliseconds)
 			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
 			.option(ChannelOption.SO_KEEPALIVE, true)
 			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
 			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
@@ -30,6 +30,8 @@
 
 	private final List<String> events = new ArrayList<>();
 
+	private boolean nested;
+
 	private final ClientLink link = new ClientLink(MeshPing::getDefaultInstance, new RecordingListener());
 
 	private final EmbeddedChannel channel = new EmbeddedChannel(this.link);
@@ -48,7 +50,7 @@
 				new InetSocketAddress("127.0.0.1", 3), Duration.ofSeconds(2), Duration.ofSeconds(6),
 				new RepeatSettings(0.2));
 		LocalBackend backend = new LocalBackend(settings, TestHeaders.NAMES, this.channel.eventLoop(), () -> {
-		});
+		}, () -> 1);
 		EmbeddedChannel server = new EmbeddedChannel(
 				new ServerLink(backend, () -> MeshPing.newBuilder().setAcknowledgement(true).build(), (ping) -> {
 				}));
@@ -70,8 +72,9 @@
 		this.link.tick(now + TimeUnit.SECONDS.toNanos(2));
 		assertThat(this.events).containsExactly("silent", "lookup Failed");
 		this.channel.writeInbound(MeshFrame.newBuilder()
-			.setReply(MeshReply.newBuilder().setStream(1).setResult(MeshResult.ANSWERED).setStatus(200))
+			.setReply(MeshReply.newBuilder().setStream(1).setResult(MeshResult.ANSWERED).setStatus(200).setNested(true))
 			.build());
+		assertThat(this.nested).isTrue();
 		assertThat(this.events).contains("order Answered", "answering");
 	}
 
@@ -95,6 +98,11 @@
 			LinkTests.this.events.add("load");
 		}
 
+		@Override
+		public void nested(String route, boolean nested) {
+			LinkTests.this.nested = nested;
+		}
+
 		@Override
 		public void ping(MeshPing ping) {
 			LinkTests.this.events.add("ping");
--- /dev/null
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestBackend.java
@@ -0,0 +1,98 @@
+package org.wasabicart.mesh;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+
+/**
+ * Backend server that answers each request at once, or as a test says.
+ */
+final class TestBackend {
+
+	final List<String> requests = new ArrayList<>();
+
+	final String instance;
+
+	private final Channel listener;
+
+	private Behaviour behaviour = Behaviour.ANSWER;
+
+	private final byte[] body;
+
+	TestBackend(EventLoop eventLoop, InetSocketAddress address, String instance, int bodyBytes) throws IOException {
+		this.instance = instance;
+		this.body = new byte[bodyBytes];
+		this.listener = Sockets.listen(eventLoop, address, new ChannelInitializer<Channel>() {
+			@Override
+			protected void initChannel(Channel channel) {
+				channel.pipeline()
+					.addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 20),
+							new SimpleChannelInboundHandler<FullHttpRequest>() {
+								@Override
+								protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+									handle(context, request);
+								}
+							});
+			}
+		}).awaitUninterruptibly().channel();
+	}
+
+	InetSocketAddress address() {
+		return (InetSocketAddress) this.listener.localAddress();
+	}
+
+	void behave(Behaviour value) {
+		this.behaviour = value;
+	}
+
+	private void handle(ChannelHandlerContext context, FullHttpRequest request) {
+		String id = request.headers().get("Id");
+		this.requests.add(id);
+		switch (this.behaviour) {
+			case ANSWER -> context.writeAndFlush(response(id, HttpResponseStatus.OK, true));
+			case SHED -> {
+				FullHttpResponse shed = response(id, HttpResponseStatus.SERVICE_UNAVAILABLE, false);
+				shed.headers().set("Not-Run", "1");
+				context.writeAndFlush(shed);
+			}
+			case CLOSE -> context.close();
+			case SILENT -> {
+			}
+		}
+	}
+
+	private FullHttpResponse response(String id, HttpResponseStatus status, boolean signed) {
+		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+				Unpooled.wrappedBuffer(this.body));
+		response.headers().set("Id", id);
+		response.headers().set("Content-Type", "application/octet-stream");
+		if (signed) {
+			response.headers().set("Signature", this.instance);
+		}
+		HttpUtil.setContentLength(response, this.body.length);
+		return response;
+	}
+
+	enum Behaviour {
+
+		ANSWER, SHED, CLOSE, SILENT
+
+	}
+
+}
