--- /dev/null
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MeshNodeTests.java
@@ -0,0 +1,166 @@
+package org.wasabicart.mesh;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import org.wasabicart.core.mesh.ServerState;
+import org.wasabicart.core.model.ServiceName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Plays requests through two nodes on the loopback interface and checks what callers get
+ * and how often servers ran them.
+ */
+@Timeout(30)
+class MeshNodeTests {
+
+	private TestFleet fleet;
+
+	private Socket socket;
+
+	private InputStream input;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.fleet = new TestFleet(List.of("a", "b"), 10);
+		this.socket = new Socket("127.0.0.1", this.fleet.entries.get(0).getPort());
+		this.input = new BufferedInputStream(this.socket.getInputStream());
+	}
+
+	@AfterEach
+	void stop() throws IOException {
+		this.socket.close();
+		this.fleet.close();
+	}
+
+	private void send(String method, String path, String id) throws IOException {
+		this.socket.getOutputStream()
+			.write((method + " " + path + " HTTP/1.1\r\nHost: host\r\nId: " + id
+					+ "\r\nDeadline: 3000\r\nContent-Length: 0\r\n\r\n")
+				.getBytes(StandardCharsets.US_ASCII));
+	}
+
+	private Answer receive() throws IOException {
+		String status = line();
+		List<String> headers = new ArrayList<>();
+		int length = 0;
+		for (String header = line(); !header.isEmpty(); header = line()) {
+			headers.add(header.toLowerCase(Locale.ROOT));
+			if (header.toLowerCase(Locale.ROOT).startsWith("content-length: ")) {
+				length = Integer.parseInt(header.substring("content-length: ".length()));
+			}
+		}
+		return new Answer(Integer.parseInt(status.split(" ")[1]), headers, this.input.readNBytes(length).length);
+	}
+
+	private String line() throws IOException {
+		StringBuilder text = new StringBuilder();
+		for (int next = this.input.read(); next != '\n'; next = this.input.read()) {
+			if (next < 0) {
+				throw new IOException("Connection closed after: " + text);
+			}
+			text.append((char) next);
+		}
+		return text.toString().strip();
+	}
+
+	private List<String> runs(int backend) throws Exception {
+		return this.fleet.onEventLoop(() -> List.copyOf(this.fleet.backends.get(backend).requests));
+	}
+
+	private void behave(int backend, TestBackend.Behaviour behaviour) throws Exception {
+		this.fleet.onEventLoop(() -> {
+			this.fleet.backends.get(backend).behave(behaviour);
+			return null;
+		});
+	}
+
+	@Test
+	void requestIsAnsweredByTheServerOfItsRoute() throws Exception {
+		send("GET", "/b/x", "1");
+		Answer answer = receive();
+		assertThat(answer.status()).isEqualTo(200);
+		assertThat(answer.headers()).contains("id: 1", "signature: i-1");
+		assertThat(answer.bodyBytes()).isEqualTo(10);
+		assertThat(runs(0)).isEmpty();
+		assertThat(runs(1)).containsExactly("1");
+	}
+
+	@Test
+	void answersKeepTheOrderOfPipelinedRequests() throws Exception {
+		send("GET", "/b/x", "1");
+		send("GET", "/none/x", "2");
+		send("GET", "/a/x", "3");
+		assertThat(receive().headers()).contains("id: 1");
+		assertThat(receive().status()).isEqualTo(404);
+		assertThat(receive().headers()).contains("id: 3");
+	}
+
+	@Test
+	void requestThatMayHaveRunIsNotSentAgainAndNotRefused() throws Exception {
+		behave(1, TestBackend.Behaviour.CLOSE);
+		send("POST", "/b/write/x", "1");
+		assertThat(receive().status()).isEqualTo(502);
+		assertThat(runs(1)).containsExactly("1");
+	}
+
+	@Test
+	void requestThatTheServerShedIsRefusedWithATimeToComeBack() throws Exception {
+		behave(1, TestBackend.Behaviour.SHED);
+		send("POST", "/b/write/x", "1");
+		Answer answer = receive();
+		assertThat(answer.status()).isEqualTo(503);
+		assertThat(answer.headers()).anyMatch((header) -> header.startsWith("retry-after: 0."));
+	}
+
+	@Test
+	void silentServerEndsWithTheRoutesTimeout() throws Exception {
+		behave(1, TestBackend.Behaviour.SILENT);
+		long start = System.nanoTime();
+		send("GET", "/b/x", "1");
+		assertThat(receive().status()).isEqualTo(504);
+		assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)).isBetween(700L, 1300L);
+	}
+
+	@Test
+	void serverThatLeavesGetsNoCallAfterItsDrainTime() throws Exception {
+		this.fleet.onEventLoop(() -> {
+			this.fleet.nodes.get(1)
+				.announced(new BackendAnnouncement("i-1", 1, 2, new ServiceName("b"), 20, ServerState.DRAINING));
+			return null;
+		});
+		TimeUnit.MILLISECONDS.sleep(500);
+		send("GET", "/b/x", "1");
+		assertThat(receive().status()).isEqualTo(503);
+		assertThat(runs(1)).isEmpty();
+	}
+
+	@Test
+	void lateHeartbeatOfAnEarlierIncarnationChangesNothing() throws Exception {
+		this.fleet.onEventLoop(() -> {
+			this.fleet.nodes.get(1)
+				.announced(new BackendAnnouncement("i-old", 0, 9, new ServiceName("b"), 20, ServerState.DRAINING));
+			return null;
+		});
+		send("GET", "/b/x", "1");
+		assertThat(receive().status()).isEqualTo(200);
+	}
+
+	private record Answer(int status, List<String> headers, int bodyBytes) {
+
+	}
+
+}
