--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/GateEntry.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/GateEntry.java
@@ -7,7 +7,7 @@
  */
 public final class GateEntry {
 
-	private final long rank;
+	private final int priority;
 
 	private final long latestStart;
 
@@ -17,18 +17,18 @@
 
 	/**
 	 * Creates an entry.
-	 * @param rank order among waiting calls; the lowest goes first
+	 * @param priority rank of the call's route; 0 goes first
 	 * @param latestStart latest useful start, in nanoseconds of the caller's clock
 	 * @param listener receives the decision
 	 */
-	public GateEntry(long rank, long latestStart, Listener listener) {
-		this.rank = rank;
+	public GateEntry(int priority, long latestStart, Listener listener) {
+		this.priority = priority;
 		this.latestStart = latestStart;
 		this.listener = Objects.requireNonNull(listener, "listener");
 	}
 
-	long rank() {
-		return this.rank;
+	int priority() {
+		return this.priority;
 	}
 
 	long latestStart() {
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/SlotGate.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/SlotGate.java
@@ -7,9 +7,10 @@
 import java.util.TreeSet;
 
 /**
- * Hands out the slots of one backend server in the order of rank, then of arrival, and
- * refuses calls that would start too late. Answers demand beyond the capacity of one
- * server: what cannot start in time is refused at once, while it has not run.
+ * Hands out the slots of one backend server in the order of priority, then of the latest
+ * start, and refuses calls that would start too late. Answers demand beyond the capacity
+ * of one server: what cannot start in time is refused at once, while it has not run, and
+ * impatient calls do not starve behind calls that can wait.
  */
 public final class SlotGate {
 
@@ -25,7 +26,8 @@
 	/** Weight of the newest call in the mean service time: about the last 50 calls. */
 	private static final double SERVICE_TIME_WEIGHT = 0.02;
 
-	private static final Comparator<GateEntry> ORDER = Comparator.comparingLong(GateEntry::rank)
+	private static final Comparator<GateEntry> ORDER = Comparator.comparingInt(GateEntry::priority)
+		.thenComparingLong(GateEntry::latestStart)
 		.thenComparingLong(GateEntry::sequence);
 
 	private final TreeSet<GateEntry> waiting = new TreeSet<>(ORDER);
--- a/wasabicart-core/src/test/java/org/wasabicart/core/mesh/SlotGateTests.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/mesh/SlotGateTests.java
@@ -16,8 +16,8 @@
 
 	private final List<String> events = new ArrayList<>();
 
-	private GateEntry entry(String name, long rank, long latestStart) {
-		return new GateEntry(rank, latestStart, new GateEntry.Listener() {
+	private GateEntry entry(String name, int priority, long latestStart) {
+		return new GateEntry(priority, latestStart, new GateEntry.Listener() {
 			@Override
 			public void admitted() {
 				SlotGateTests.this.events.add(name + " admitted");
@@ -31,7 +31,7 @@
 	}
 
 	@Test
-	void lowestRankGetsTheNextSlot() {
+	void highestPriorityGetsTheNextSlot() {
 		SlotGate gate = new SlotGate(1);
 		gate.offer(entry("running", 1, 0), 0);
 		gate.offer(entry("low", 9, 1000 * MILLISECOND), 0);
@@ -41,6 +41,18 @@
 		assertThat(this.events).containsExactly("running admitted", "high admitted", "low admitted");
 	}
 
+	@Test
+	void impatientCallGoesBeforePatientOnesOfItsPriority() {
+		SlotGate gate = new SlotGate(1);
+		gate.offer(entry("running", 1, 0), 0);
+		for (int i = 0; i < 5; i++) {
+			gate.offer(entry("nested", 1, 400 * MILLISECOND), 0);
+		}
+		gate.offer(entry("caller", 1, 25 * MILLISECOND), 0);
+		gate.finished(MILLISECOND, MILLISECOND);
+		assertThat(this.events).containsExactly("running admitted", "caller admitted");
+	}
+
 	@Test
 	void callThatWouldStartTooLateIsRefusedAtOnce() {
 		SlotGate gate = new SlotGate(1);
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
@@ -18,7 +18,6 @@
 import org.jboss.logging.Logger;
 
 import org.wasabicart.core.mesh.CallOrigins;
-import org.wasabicart.core.mesh.CallRank;
 import org.wasabicart.core.mesh.GateEntry;
 import org.wasabicart.core.mesh.GateRefusal;
 import org.wasabicart.core.mesh.MemberLoadReport;
@@ -45,6 +44,12 @@
 	/** Time without which a call is not worth starting. */
 	private static final long MINIMUM_REMAINING = TimeUnit.MILLISECONDS.toNanos(10);
 
+	/**
+	 * Factor on the patience of a call that a running request made: refusing it wastes
+	 * the work done so far, while waiting for its deadline makes the request late.
+	 */
+	private static final int NESTED_PATIENCE = 4;
+
 	private static final int STATUS_MISDIRECTED = 421;
 
 	private final MeshSettings settings;
@@ -224,8 +229,11 @@
 		return entry::cancel;
 	}
 
-	private long serviceTime() {
-		return (this.gate != null) ? this.gate.serviceTime() : 0;
+	private long latestNestedStart(Call call) {
+		long now = System.nanoTime();
+		long serviceTime = (this.gate != null) ? this.gate.serviceTime() : 0;
+		return Math.min(now + NESTED_PATIENCE * (call.latestStart() - now),
+				call.deadline() - Math.max(MINIMUM_REMAINING, serviceTime));
 	}
 
 	private GateRefusal refusal(Call call) {
@@ -318,8 +326,8 @@
 		Running(Call call, boolean nested, CallListener listener) {
 			this.call = call;
 			this.listener = listener;
-			this.gateEntry = new GateEntry(CallRank.of(call.priority(), nested),
-					nested ? call.deadline() - Math.max(MINIMUM_REMAINING, serviceTime()) : call.latestStart(), this);
+			this.gateEntry = new GateEntry(call.priority(), nested ? latestNestedStart(call) : call.latestStart(),
+					this);
 			this.owner = LocalBackend.this.gate;
 		}
 
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -32,6 +33,12 @@
 
 	private static final Logger logger = Logger.getLogger(MeshNode.class);
 
+	/** Members change in groups, and a drain holds without them: calls cost more. */
+	private static final Duration MEMBER_BATCH = Duration.ofMillis(500);
+
+	/** A configuration is to be in force within two seconds. */
+	private static final Duration CONFIGURATION_BATCH = Duration.ofMillis(150);
+
 	/** Resolution of timeouts that are not tied to one request. */
 	private static final long TICK_MILLISECONDS = 50;
 
@@ -110,10 +117,10 @@
 		this.router = new EntryRouter(settings, names, eventLoop, this.peers, this.localBackend, random, metrics,
 				new DecisionLog());
 		this.entryKeeper = new MemberEntryKeeper(store, eventLoop, layout.memberPrefix() + settings.nodeId());
-		this.memberWatch = new PrefixWatch(store, eventLoop, layout.memberPrefix(), this::allMembers,
+		this.memberWatch = new PrefixWatch(store, eventLoop, layout.memberPrefix(), MEMBER_BATCH, this::allMembers,
 				this::changedMembers);
-		this.configurationWatch = new PrefixWatch(store, eventLoop, layout.configurationKey(), this::configurations,
-				this::configurations);
+		this.configurationWatch = new PrefixWatch(store, eventLoop, layout.configurationKey(), CONFIGURATION_BATCH,
+				this::configurations, this::configurations);
 	}
 
 	/**
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/PrefixWatch.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/PrefixWatch.java
@@ -19,9 +19,6 @@
 	/** Longest time that one call waits: a lost call is noticed by keep-alive probes. */
 	private static final Duration WAIT = Duration.ofSeconds(20);
 
-	/** Pause between two calls, which collects changes that come close together. */
-	private static final long BATCH_MILLISECONDS = 150;
-
 	private static final long PAUSE_MINIMUM_MILLISECONDS = 200;
 
 	/** Entries must be seen within two seconds of the store's return. */
@@ -37,17 +34,30 @@
 
 	private final Consumer<MeshStore.StoredItems> changes;
 
+	private final Duration batch;
+
 	private long revision = -1;
 
 	private long pause = PAUSE_MINIMUM_MILLISECONDS;
 
 	private boolean reachable;
 
-	PrefixWatch(MeshStore store, EventLoop eventLoop, String prefix, Consumer<MeshStore.StoredItems> all,
-			Consumer<MeshStore.StoredItems> changes) {
+	/**
+	 * Creates a watch.
+	 * @param store store
+	 * @param eventLoop event loop of the node
+	 * @param prefix prefix of the keys
+	 * @param batch pause between two calls, which collects changes that come close
+	 * together
+	 * @param all receives all items
+	 * @param changes receives changed items
+	 */
+	PrefixWatch(MeshStore store, EventLoop eventLoop, String prefix, Duration batch,
+			Consumer<MeshStore.StoredItems> all, Consumer<MeshStore.StoredItems> changes) {
 		this.store = Objects.requireNonNull(store, "store");
 		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
 		this.prefix = Objects.requireNonNull(prefix, "prefix");
+		this.batch = Objects.requireNonNull(batch, "batch");
 		this.all = Objects.requireNonNull(all, "all");
 		this.changes = Objects.requireNonNull(changes, "changes");
 	}
@@ -83,7 +93,7 @@
 			this.pause = PAUSE_MINIMUM_MILLISECONDS;
 			this.revision = Math.max(this.revision, items.revision());
 			listener.accept(items);
-			schedule(BATCH_MILLISECONDS);
+			schedule(this.batch.toMillis());
 			return;
 		}
 		if (failure instanceof MeshStoreException ex && ex.kind() == MeshStoreException.Kind.HISTORY_LOST) {
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/PrefixWatchTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/PrefixWatchTests.java
@@ -1,5 +1,6 @@
 package org.wasabicart.mesh;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -20,7 +21,7 @@
 
 	private final List<String> events = new ArrayList<>();
 
-	private final PrefixWatch watch = new PrefixWatch(this.store, this.channel.eventLoop(), "p",
+	private final PrefixWatch watch = new PrefixWatch(this.store, this.channel.eventLoop(), "p", Duration.ofMillis(150),
 			(items) -> this.events.add("all " + items.items().size()),
 			(items) -> this.events.add("changes " + items.items().size()));
 
