--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottle.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottle.java
@@ -10,7 +10,7 @@
  * let through falls by the share that failed and rises while little fails, so no
  * knowledge of the graph is needed.
  */
-public final class EntryThrottle {
+final class EntryThrottle {
 
 	/** Time between changes of the share: about the time that a request takes. */
 	static final long INTERVAL = TimeUnit.MILLISECONDS.toNanos(250);
@@ -41,6 +41,23 @@
 
 	private static final double RISE_MAXIMUM = 0.2;
 
+	/**
+	 * Factor of a change while requests of higher priority fail: their losses end within
+	 * two seconds.
+	 */
+	private static final double YIELD = 0.85;
+
+	/** Failed share above which a route takes part in an overload; errors are rarer. */
+	private static final double INVOLVED_SHARE = 0.02;
+
+	/** Failed share above which lower priorities are cut. */
+	private static final double HURT_SHARE = 0.05;
+
+	/** Weight of the newest request in the smoothed share: about the last 50 requests. */
+	private static final double SMOOTHING = 0.02;
+
+	private final int priority;
+
 	private final double tolerance;
 
 	private final RandomGenerator random;
@@ -51,29 +68,30 @@
 
 	private long intervalStart;
 
+	private long lastEnd;
+
 	private boolean started;
 
 	private int ended;
 
 	private int failed;
 
-	/**
-	 * Creates a throttle.
-	 * @param priority rank of the requests; 0 is the highest
-	 * @param random random source
-	 */
-	public EntryThrottle(int priority, RandomGenerator random) {
+	private double smoothedFailures;
+
+	EntryThrottle(int priority, RandomGenerator random) {
+		this.priority = priority;
 		this.tolerance = TOLERANCE_MINIMUM + TOLERANCE_RANGE * Math.pow(TOLERANCE_DECAY, priority);
 		this.random = random;
 	}
 
 	/**
 	 * Decides on one request.
+	 * @param yielding whether requests of a higher priority fail
 	 * @param now current time in nanoseconds
 	 * @return whether the request is let through
 	 */
-	public boolean admit(long now) {
-		update(now);
+	boolean admit(boolean yielding, long now) {
+		update(yielding, now);
 		return this.share >= 1 || this.random.nextDouble() < this.share;
 	}
 
@@ -82,21 +100,35 @@
 	 * @param succeeded whether it did not fail for lack of capacity
 	 * @param now current time in nanoseconds
 	 */
-	public void ended(boolean succeeded, long now) {
-		update(now);
+	void ended(boolean succeeded, long now) {
+		this.lastEnd = now;
 		this.ended++;
 		this.failed += succeeded ? 0 : 1;
+		this.smoothedFailures += SMOOTHING * ((succeeded ? 0 : 1) - this.smoothedFailures);
+	}
+
+	int priority() {
+		return this.priority;
+	}
+
+	/**
+	 * Returns whether so many requests fail that lower priorities should yield.
+	 * @param now current time in nanoseconds
+	 * @return whether they should
+	 */
+	boolean hurt(long now) {
+		return this.smoothedFailures > HURT_SHARE && now - this.lastEnd < INTERVAL_MAXIMUM;
 	}
 
 	/**
 	 * Returns the share of the requests that is let through.
 	 * @return the share, above 0 and at most 1
 	 */
-	public double share() {
+	double share() {
 		return this.share;
 	}
 
-	private void update(long now) {
+	private void update(boolean yielding, long now) {
 		if (!this.started) {
 			this.started = true;
 			this.intervalStart = now;
@@ -111,6 +143,10 @@
 					this.share * Math.max(CUT_MINIMUM, 1 - failedShare + this.tolerance / 2));
 			this.rise = RISE_MINIMUM;
 		}
+		else if (yielding && this.smoothedFailures > INVOLVED_SHARE) {
+			this.share = Math.max(SHARE_MINIMUM, this.share * YIELD);
+			this.rise = RISE_MINIMUM;
+		}
 		else {
 			this.share = Math.min(1, this.share + this.rise);
 			this.rise = Math.min(RISE_MAXIMUM, 2 * this.rise);
--- /dev/null
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottles.java
@@ -0,0 +1,68 @@
+package org.wasabicart.core.mesh;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+/**
+ * Throttles of all routes at one entry. While requests of a higher priority fail, routes
+ * that fail as well are cut: they meet at a service that is short of room, whatever lies
+ * between. Routes that do not fail are left alone.
+ */
+public final class EntryThrottles {
+
+	private final RandomGenerator random;
+
+	private final Map<String, EntryThrottle> throttles = new HashMap<>();
+
+	/**
+	 * Creates the throttles.
+	 * @param random random source
+	 */
+	public EntryThrottles(RandomGenerator random) {
+		this.random = random;
+	}
+
+	/**
+	 * Decides on one request.
+	 * @param route route of the request
+	 * @param now current time in nanoseconds
+	 * @return whether the request is let through
+	 */
+	public boolean admit(MeshRoute route, long now) {
+		return throttle(route).admit(yields(route.priority(), now), now);
+	}
+
+	private boolean yields(int priority, long now) {
+		for (EntryThrottle other : this.throttles.values()) {
+			if (other.priority() < priority && other.hurt(now)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	/**
+	 * Records the end of a request that was let through.
+	 * @param route route of the request
+	 * @param succeeded whether it did not fail for lack of capacity
+	 * @param now current time in nanoseconds
+	 */
+	public void ended(MeshRoute route, boolean succeeded, long now) {
+		throttle(route).ended(succeeded, now);
+	}
+
+	private EntryThrottle throttle(MeshRoute route) {
+		return this.throttles.computeIfAbsent(route.name(), (name) -> new EntryThrottle(route.priority(), this.random));
+	}
+
+	/**
+	 * Forgets routes that are no longer configured.
+	 * @param names names of the routes that are
+	 */
+	public void retain(Collection<String> names) {
+		this.throttles.keySet().retainAll(names);
+	}
+
+}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -23,7 +23,7 @@
 import io.netty.util.concurrent.Future;
 import org.jboss.logging.Logger;
 
-import org.wasabicart.core.mesh.EntryThrottle;
+import org.wasabicart.core.mesh.EntryThrottles;
 import org.wasabicart.core.mesh.GateRefusal;
 import org.wasabicart.core.mesh.MemberStatus;
 import org.wasabicart.core.mesh.MeshConfiguration;
@@ -109,7 +109,7 @@
 
 	private final Map<ServiceName, RepeatBudget> budgets = new HashMap<>();
 
-	private final Map<String, EntryThrottle> throttles = new HashMap<>();
+	private final EntryThrottles throttles;
 
 	private final Set<String> nestedRoutes = new HashSet<>();
 
@@ -127,6 +127,7 @@
 		this.peers = Objects.requireNonNull(peers, "peers");
 		this.localBackend = Objects.requireNonNull(localBackend, "localBackend");
 		this.random = Objects.requireNonNull(random, "random");
+		this.throttles = new EntryThrottles(random);
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		this.decisions = Objects.requireNonNull(decisions, "decisions");
 		this.placement = new Placement(settings.failureDomain(), settings.region(), random);
@@ -147,7 +148,7 @@
 		this.configuration = candidate;
 		List<String> routes = candidate.routes().stream().map(MeshRoute::name).toList();
 		this.rotations.keySet().retainAll(routes);
-		this.throttles.keySet().retainAll(routes);
+		this.throttles.retain(routes);
 		this.nestedRoutes.retainAll(routes);
 		return true;
 	}
@@ -201,10 +202,6 @@
 		}
 	}
 
-	private EntryThrottle throttle(MeshRoute route) {
-		return this.throttles.computeIfAbsent(route.name(), (name) -> new EntryThrottle(route.priority(), this.random));
-	}
-
 	private RepeatBudget budget(ServiceName service) {
 		return this.budgets.computeIfAbsent(service,
 				(name) -> new RepeatBudget(this.settings.repeats().ratio() * REPEAT_SHARE, 1));
@@ -276,7 +273,7 @@
 
 		private int overloads;
 
-		private boolean throttled;
+		private boolean counted;
 
 		private CallResult.Answered failure;
 
@@ -307,11 +304,12 @@
 			this.route = match.get();
 			this.service = EntryRouter.this.rotations.computeIfAbsent(this.route.name(), (name) -> new SplitRotation())
 				.next(this.route.shares());
-			if (!EntryRouter.this.nestedRoutes.contains(this.route.name()) && !throttle(this.route).admit(this.start)) {
+			boolean nested = EntryRouter.this.nestedRoutes.contains(this.route.name());
+			if (!nested && !EntryRouter.this.throttles.admit(this.route, this.start)) {
 				refuse("throttled");
 				return;
 			}
-			this.throttled = true;
+			this.counted = !nested;
 			this.call = call(request);
 			budget(this.service).earn();
 			long left = this.call.deadline() - System.nanoTime();
@@ -398,8 +396,8 @@
 		}
 
 		private void recordCapacity(boolean succeeded) {
-			if (this.throttled) {
-				throttle(this.route).ended(succeeded, System.nanoTime());
+			if (this.counted) {
+				EntryRouter.this.throttles.ended(this.route, succeeded, System.nanoTime());
 			}
 		}
 
