--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryConnection.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryConnection.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 
 import io.netty.buffer.Unpooled;
@@ -20,7 +21,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
 import org.jboss.logging.Logger;
 
@@ -45,13 +45,24 @@
 
 	private final Deque<Slot> slots = new ArrayDeque<>();
 
+	private final Set<EntryConnection> open;
+
 	private Channel channel;
 
+	private long lastUse = System.nanoTime();
+
 	private boolean closeSent;
 
-	EntryConnection(EntryHandler handler, BooleanSupplier closing) {
+	/**
+	 * Creates a handler for one connection.
+	 * @param handler handles requests
+	 * @param closing whether connections are closed after their next answer
+	 * @param open receives the connection while it is open
+	 */
+	EntryConnection(EntryHandler handler, BooleanSupplier closing, Set<EntryConnection> open) {
 		this.handler = Objects.requireNonNull(handler, "handler");
 		this.closing = Objects.requireNonNull(closing, "closing");
+		this.open = Objects.requireNonNull(open, "open");
 	}
 
 	@Override
@@ -93,6 +104,7 @@
 			written = true;
 		}
 		if (written) {
+			this.lastUse = System.nanoTime();
 			this.channel.flush();
 			if (!this.closeSent && this.slots.size() < MAXIMUM_PIPELINED) {
 				this.channel.config().setAutoRead(true);
@@ -130,15 +142,25 @@
 		open.forEach(Slot::cancel);
 	}
 
-	@Override
-	public void userEventTriggered(ChannelHandlerContext context, Object event) {
-		if (event instanceof IdleStateEvent && this.slots.isEmpty()) {
+	/**
+	 * Closes the connection if no request has used it for a time.
+	 * @param now current time in nanoseconds
+	 * @param idleTimeout time in nanoseconds
+	 */
+	void expire(long now, long idleTimeout) {
+		if (this.slots.isEmpty() && now - this.lastUse > idleTimeout) {
 			this.channel.close();
 		}
 	}
 
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		this.open.add(this);
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
+		this.open.remove(this);
 		this.closeSent = true;
 		cancelAll();
 	}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -4,8 +4,10 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -17,7 +19,6 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.timeout.IdleStateHandler;
 import org.jboss.logging.Logger;
 
 import org.wasabicart.core.mesh.CallerLimits;
@@ -33,6 +34,9 @@
 
 	private static final Logger logger = Logger.getLogger(MeshNode.class);
 
+	/** Idle timeouts are seconds. */
+	private static final long EXPIRY_INTERVAL = TimeUnit.SECONDS.toNanos(1);
+
 	/** Members change in groups, and a drain holds without them: calls cost more. */
 	private static final Duration MEMBER_BATCH = Duration.ofMillis(500);
 
@@ -84,6 +88,10 @@
 
 	private final PrefixWatch configurationWatch;
 
+	private final Set<EntryConnection> callers = new HashSet<>();
+
+	private long lastExpiry = System.nanoTime();
+
 	private boolean membersKnown;
 
 	private boolean configurationRequested;
@@ -159,13 +167,10 @@
 	}
 
 	private void entry(Channel channel) {
-		MeshConfiguration current = this.router.configuration();
-		CallerLimits limits = (current != null) ? current.limits() : CallerLimits.DEFAULT;
 		channel.pipeline()
 			.addLast(new HttpRequestDecoder(MAXIMUM_INITIAL_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES),
 					new HttpResponseEncoder(), new HttpObjectAggregator(MAXIMUM_BODY_BYTES),
-					new IdleStateHandler(0, 0, limits.idleTimeout().toMillis(), TimeUnit.MILLISECONDS),
-					new EntryConnection(this.router, () -> this.stopping));
+					new EntryConnection(this.router, () -> this.stopping, this.callers));
 	}
 
 	/**
@@ -317,6 +322,12 @@
 		long now = System.nanoTime();
 		this.localBackend.tick(now);
 		this.peers.tick(now, this.memberWatch.reachable());
+		if (now - this.lastExpiry > EXPIRY_INTERVAL) {
+			this.lastExpiry = now;
+			MeshConfiguration current = this.router.configuration();
+			CallerLimits limits = (current != null) ? current.limits() : CallerLimits.DEFAULT;
+			List.copyOf(this.callers).forEach((caller) -> caller.expire(now, limits.idleTimeout().toNanos()));
+		}
 	}
 
 	/**
