--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestLoad.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestLoad.java
@@ -8,12 +8,12 @@
 /**
  * Measures the processor time of one call through two nodes.
  */
-final class TestLoad {
+public final class TestLoad {
 
 	private TestLoad() {
 	}
 
-	static void main(String[] arguments) throws Exception {
+	public static void main(String[] arguments) throws Exception {
 		int calls = Integer.parseInt(arguments[0]);
 		try (TestFleet fleet = new TestFleet(List.of("a", "b"), 1500);
 				Socket socket = new Socket("127.0.0.1", fleet.entries.get(0).getPort())) {
