--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/StandardOutputLog.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/StandardOutputLog.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -21,6 +22,9 @@
 	/** Lines that wait to be written: some seconds at the highest rate. */
 	private static final int QUEUED_LINES = 2048;
 
+	/** Pause between two writes: a line is seen soon enough. */
+	private static final long PAUSE_MILLISECONDS = 100;
+
 	private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(QUEUED_LINES);
 
 	private final AtomicLong lost = new AtomicLong();
@@ -77,6 +81,8 @@
 				}
 				this.output.print(text);
 				this.output.flush();
+				// Lines that come meanwhile wake nobody and are written together.
+				TimeUnit.MILLISECONDS.sleep(PAUSE_MILLISECONDS);
 			}
 		}
 		catch (InterruptedException ex) {
