--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Call.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Call.java
@@ -23,4 +23,14 @@
 record Call(String requestId, String method, String target, List<MeshHeader> headers, byte[] body, long deadline,
 		String instance, String callerService, boolean idempotent, int priority, long latestStart, String route) {
 
+	/**
+	 * Returns the same call for one incarnation of a server.
+	 * @param expected incarnation that may run the call
+	 * @return the call
+	 */
+	Call at(String expected) {
+		return new Call(this.requestId, this.method, this.target, this.headers, this.body, this.deadline, expected,
+				this.callerService, this.idempotent, this.priority, this.latestStart, this.route);
+	}
+
 }
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -1,7 +1,6 @@
 package org.wasabicart.mesh;
 
 import java.net.SocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -14,11 +13,9 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
-import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
 import org.jboss.logging.Logger;
@@ -27,9 +24,7 @@
 import org.wasabicart.core.mesh.GateRefusal;
 import org.wasabicart.core.mesh.MemberStatus;
 import org.wasabicart.core.mesh.MeshConfiguration;
-import org.wasabicart.core.mesh.MeshMember;
 import org.wasabicart.core.mesh.MeshRoute;
-import org.wasabicart.core.mesh.Placement;
 import org.wasabicart.core.mesh.RepeatBudget;
 import org.wasabicart.core.mesh.SplitRotation;
 import org.wasabicart.core.model.NodeId;
@@ -44,21 +39,6 @@
 
 	private static final Logger logger = Logger.getLogger(EntryRouter.class);
 
-	/** Time that a caller waits if it does not say. */
-	private static final long DEFAULT_DEADLINE = TimeUnit.SECONDS.toNanos(5);
-
-	/** Longest time that a caller may ask for. */
-	private static final long MAXIMUM_DEADLINE = TimeUnit.MINUTES.toNanos(10);
-
-	/**
-	 * Part of the target latency that a request may wait for a slot: a longer wait costs
-	 * more than to be told at once and come back.
-	 */
-	private static final double PATIENCE_SHARE = 0.125;
-
-	/** Part of the time left that stands in for a target latency. */
-	private static final double PATIENCE_SHARE_OF_DEADLINE = 0.05;
-
 	/** Time without a server after a refusal by a node whose server cannot be reached. */
 	private static final long AVOID_UNREACHABLE = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -83,21 +63,13 @@
 	 */
 	private static final double REPEAT_SHARE = 0.25;
 
-	private static final byte[] NO_BODY = {};
-
 	private final MeshSettings settings;
 
-	private final CallHeaders names;
-
-	private final Set<String> droppedHeaders;
+	private final EntryRequestReader reader;
 
 	private final EventLoop eventLoop;
 
-	private final Peers peers;
-
-	private final LocalBackend localBackend;
-
-	private final Placement placement;
+	private final Destinations destinations;
 
 	private final RandomGenerator random;
 
@@ -115,24 +87,18 @@
 
 	private MeshConfiguration configuration;
 
-	private MemberStatus local;
-
 	private int active;
 
-	EntryRouter(MeshSettings settings, CallHeaders names, EventLoop eventLoop, Peers peers, LocalBackend localBackend,
+	EntryRouter(MeshSettings settings, EntryRequestReader reader, EventLoop eventLoop, Destinations destinations,
 			RandomGenerator random, MeshMetrics metrics, DecisionLog decisions) {
 		this.settings = Objects.requireNonNull(settings, "settings");
-		this.names = Objects.requireNonNull(names, "names");
+		this.reader = Objects.requireNonNull(reader, "reader");
 		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
-		this.peers = Objects.requireNonNull(peers, "peers");
-		this.localBackend = Objects.requireNonNull(localBackend, "localBackend");
+		this.destinations = Objects.requireNonNull(destinations, "destinations");
 		this.random = Objects.requireNonNull(random, "random");
 		this.throttles = new EntryThrottles(random);
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		this.decisions = Objects.requireNonNull(decisions, "decisions");
-		this.placement = new Placement(settings.failureDomain(), settings.region(), random);
-		this.droppedHeaders = Set.of(names.deadline().toLowerCase(Locale.ROOT),
-				names.expectedInstance().toLowerCase(Locale.ROOT), names.callerService().toLowerCase(Locale.ROOT));
 	}
 
 	/**
@@ -168,26 +134,6 @@
 		return exchange::cancel;
 	}
 
-	private static String path(String target) {
-		int query = target.indexOf('?');
-		return (query >= 0) ? target.substring(0, query) : target;
-	}
-
-	private long deadline(HttpHeaders headers, long now) {
-		String value = headers.get(this.names.deadline());
-		if (value == null) {
-			return now + DEFAULT_DEADLINE;
-		}
-		try {
-			double milliseconds = Double.parseDouble(value);
-			return now + (long) Math.max(0, Math.min(MAXIMUM_DEADLINE, milliseconds * 1e6));
-		}
-		catch (NumberFormatException ex) {
-			logger.debugf("event=deadline-unreadable value=\"%s\"", value);
-			return now + DEFAULT_DEADLINE;
-		}
-	}
-
 	/**
 	 * A node told whether a route is called by servers.
 	 * @param route name of the route
@@ -207,41 +153,6 @@
 				(name) -> new RepeatBudget(this.settings.repeats().ratio() * REPEAT_SHARE, 1));
 	}
 
-	/**
-	 * The server beside this node has changed.
-	 * @param member server, or null if it is unknown or has left
-	 */
-	void localMember(MeshMember member) {
-		if (member == null) {
-			this.local = null;
-		}
-		else if (this.local == null) {
-			this.local = new MemberStatus(member);
-		}
-		else {
-			this.local.member(member);
-		}
-	}
-
-	private List<MemberStatus> candidates(ServiceName service) {
-		List<MemberStatus> others = this.peers.of(service);
-		if (this.local == null || !this.local.member().service().equals(service)) {
-			return others;
-		}
-		this.local.reported(this.localBackend.load());
-		List<MemberStatus> all = new ArrayList<>(others.size() + 1);
-		all.add(this.local);
-		all.addAll(others);
-		return all;
-	}
-
-	private CallHandle send(MemberStatus chosen, Call call, CallListener listener) {
-		if (chosen == this.local) {
-			return this.localBackend.handle(call, listener);
-		}
-		return this.peers.get(chosen.member().node()).send(call, listener);
-	}
-
 	/**
 	 * One request of a caller.
 	 */
@@ -281,8 +192,7 @@
 
 		Exchange(FullHttpRequest request, Consumer<EntryAnswer> listener) {
 			this.listener = listener;
-			String id = request.headers().get(EntryRouter.this.names.requestId());
-			this.requestId = (id != null) ? id : "";
+			this.requestId = EntryRouter.this.reader.requestId(request);
 		}
 
 		void start(FullHttpRequest request) {
@@ -293,7 +203,7 @@
 				return;
 			}
 			String host = request.headers().get(HttpHeaderNames.HOST, "");
-			Optional<MeshRoute> match = current.match(host, path(request.uri()));
+			Optional<MeshRoute> match = current.match(host, EntryRequestReader.path(request.uri()));
 			if (match.isEmpty()) {
 				EntryRouter.this.decisions.log(
 						"event=request-not-found request=%s host=%s target=%s configuration=%08x", this.requestId, host,
@@ -310,28 +220,13 @@
 				return;
 			}
 			this.counted = !nested;
-			this.call = call(request);
+			this.call = EntryRouter.this.reader.call(request, this.route, this.start);
 			budget(this.service).earn();
 			long left = this.call.deadline() - System.nanoTime();
 			this.timer = EntryRouter.this.eventLoop.schedule(this::timeout, left, TimeUnit.NANOSECONDS);
 			attempt();
 		}
 
-		private Call call(FullHttpRequest request) {
-			long callerDeadline = deadline(request.headers(), this.start);
-			long deadline = this.route.timeout()
-				.map((timeout) -> Math.min(callerDeadline, this.start + timeout.toNanos()))
-				.orElse(callerDeadline);
-			long patience = this.route.targetLatency()
-				.map((target) -> (long) (target.toNanos() * PATIENCE_SHARE))
-				.orElse((long) ((callerDeadline - this.start) * PATIENCE_SHARE_OF_DEADLINE));
-			byte[] body = request.content().isReadable() ? ByteBufUtil.getBytes(request.content()) : NO_BODY;
-			return new Call(this.requestId, request.method().name(), request.uri(),
-					HttpFields.endToEnd(request.headers(), EntryRouter.this.droppedHeaders), body, deadline, "",
-					EntryRouter.this.settings.service().value(), this.route.idempotent(), this.route.priority(),
-					Math.min(deadline, this.start + patience), this.route.name());
-		}
-
 		private void attempt() {
 			long now = System.nanoTime();
 			MemberStatus chosen = null;
@@ -345,22 +240,16 @@
 			this.member = chosen;
 			this.sends++;
 			this.used.add(chosen.member().node());
-			Call placed = new Call(this.call.requestId(), this.call.method(), this.call.target(), this.call.headers(),
-					this.call.body(), this.call.deadline(), chosen.member().instance(), this.call.callerService(),
-					this.call.idempotent(), this.call.priority(), this.call.latestStart(), this.call.route());
+			Call placed = this.call.at(chosen.member().instance());
 			this.handle = null;
-			CallHandle sent = EntryRouter.this.send(chosen, placed, this::ended);
+			CallHandle sent = EntryRouter.this.destinations.send(chosen, placed, this::ended);
 			if (this.handle == null) {
 				this.handle = sent;
 			}
 		}
 
 		private MemberStatus choose(long now) {
-			return EntryRouter.this.placement.choose(candidates(), this.used::contains, this.overloads > 0, now);
-		}
-
-		private List<MemberStatus> candidates() {
-			return EntryRouter.this.candidates(this.service);
+			return EntryRouter.this.destinations.choose(this.service, this.used::contains, this.overloads > 0, now);
 		}
 
 		private void ended(CallResult result) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
@@ -7,14 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import org.jboss.logging.Logger;
 
 import org.wasabicart.core.mesh.CallOrigins;
@@ -25,7 +18,6 @@
 import org.wasabicart.core.mesh.ServerState;
 import org.wasabicart.core.mesh.SlotGate;
 import org.wasabicart.core.model.NodeAddress;
-import org.wasabicart.wire.generated.mesh.MeshHeader;
 
 /**
  * The backend server beside this node. All calls to the server pass through here, so that
@@ -53,11 +45,9 @@
 	 */
 	private static final int NESTED_PATIENCE = 4;
 
-	private static final int STATUS_MISDIRECTED = 421;
-
 	private final MeshSettings settings;
 
-	private final CallHeaders names;
+	private final BackendMessages messages;
 
 	private final BackendPool pool;
 
@@ -88,7 +78,7 @@
 	LocalBackend(MeshSettings settings, CallHeaders names, EventLoop eventLoop, Runnable changed,
 			IntSupplier knownServices) {
 		this.settings = Objects.requireNonNull(settings, "settings");
-		this.names = Objects.requireNonNull(names, "names");
+		this.messages = new BackendMessages(names);
 		this.changed = Objects.requireNonNull(changed, "changed");
 		this.knownServices = Objects.requireNonNull(knownServices, "knownServices");
 		this.pool = new BackendPool(eventLoop, settings.backendAddress(), names.requestId());
@@ -277,39 +267,6 @@
 		this.pool.expire(now);
 	}
 
-	private FullHttpRequest request(Call call, long remainingMilliseconds) {
-		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method()),
-				call.target(), Unpooled.wrappedBuffer(call.body()));
-		HttpHeaders headers = request.headers();
-		for (MeshHeader field : call.headers()) {
-			headers.add(field.getName(), field.getValue());
-		}
-		if (call.body().length > 0 || HttpMethod.POST.equals(request.method())
-				|| HttpMethod.PUT.equals(request.method())) {
-			headers.set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
-		}
-		headers.set(this.names.deadline(), remainingMilliseconds);
-		headers.set(this.names.expectedInstance(), call.instance());
-		headers.set(this.names.callerService(), call.callerService());
-		return request;
-	}
-
-	private CallResult result(Call call, BackendAnswer answer) {
-		int status = answer.head().status().code();
-		HttpHeaders headers = answer.head().headers();
-		if (headers.contains(this.names.notExecuted()) || status == STATUS_MISDIRECTED) {
-			return new CallResult.Refused(
-					(status == STATUS_MISDIRECTED) ? GateRefusal.WRONG_INSTANCE : GateRefusal.SHED, true);
-		}
-		if (!headers.contains(this.names.signature())) {
-			return new CallResult.Failed("answer-without-signature status=" + status);
-		}
-		if (headers.contains(HttpHeaderNames.CONTENT_ENCODING)) {
-			return new CallResult.Failed("answer-encoded");
-		}
-		return new CallResult.Answered(status, HttpFields.endToEnd(headers, Set.of()), answer.body());
-	}
-
 	/**
 	 * One call that waits for a slot, or holds one.
 	 */
@@ -369,7 +326,7 @@
 				return;
 			}
 			this.connection = opened;
-			this.connection.send(request(this.call, remaining), this.call.requestId(), this);
+			this.connection.send(LocalBackend.this.messages.request(this.call, remaining), this.call.requestId(), this);
 		}
 
 		@Override
@@ -382,7 +339,7 @@
 
 		@Override
 		public void answered(BackendAnswer answer) {
-			end(result(this.call, answer));
+			end(LocalBackend.this.messages.result(answer));
 		}
 
 		@Override
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -24,6 +24,7 @@
 import org.wasabicart.core.mesh.CallerLimits;
 import org.wasabicart.core.mesh.MeshConfiguration;
 import org.wasabicart.core.mesh.MeshMember;
+import org.wasabicart.core.mesh.Placement;
 import org.wasabicart.core.model.NodeId;
 import org.wasabicart.wire.generated.mesh.MeshPing;
 
@@ -80,6 +81,8 @@
 
 	private final Peers peers;
 
+	private final Destinations destinations;
+
 	private final EntryRouter router;
 
 	private final MemberEntryKeeper entryKeeper;
@@ -122,8 +125,10 @@
 		this.localBackend = new LocalBackend(settings, names, eventLoop, this::localChanged, this::knownServices);
 		this.peers = new Peers(settings.nodeId(),
 				new PeerEnvironment(eventLoop, this::ownPing, this::pinged, this::nested));
-		this.router = new EntryRouter(settings, names, eventLoop, this.peers, this.localBackend, random, metrics,
-				new DecisionLog());
+		this.destinations = new Destinations(this.peers, this.localBackend,
+				new Placement(settings.failureDomain(), settings.region(), random));
+		this.router = new EntryRouter(settings, new EntryRequestReader(names, settings.service().value()), eventLoop,
+				this.destinations, random, metrics, new DecisionLog());
 		this.entryKeeper = new MemberEntryKeeper(store, eventLoop, layout.memberPrefix() + settings.nodeId());
 		this.memberWatch = new PrefixWatch(store, eventLoop, layout.memberPrefix(), MEMBER_BATCH, this::allMembers,
 				this::changedMembers);
@@ -215,7 +220,7 @@
 
 	private void localChanged() {
 		MeshMember member = this.localBackend.member();
-		this.router.localMember(member);
+		this.destinations.localMember(member);
 		this.entryKeeper.publish((member != null) ? MemberEntries.toEntry(member).toByteArray() : null);
 	}
 
