--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -26,6 +26,7 @@
 import org.wasabicart.core.mesh.MeshConfiguration;
 import org.wasabicart.core.mesh.MeshRoute;
 import org.wasabicart.core.mesh.RepeatBudget;
+import org.wasabicart.core.mesh.ReturnTimes;
 import org.wasabicart.core.mesh.SplitRotation;
 import org.wasabicart.core.model.NodeId;
 import org.wasabicart.core.model.ServiceName;
@@ -63,6 +64,8 @@
 	 */
 	private static final double REPEAT_SHARE = 0.25;
 
+	private static final double NANOSECONDS_PER_SECOND = 1e9;
+
 	private final MeshSettings settings;
 
 	private final EntryRequestReader reader;
@@ -71,7 +74,7 @@
 
 	private final Destinations destinations;
 
-	private final RandomGenerator random;
+	private final ReturnTimes returnTimes;
 
 	private final MeshMetrics metrics;
 
@@ -95,7 +98,7 @@
 		this.reader = Objects.requireNonNull(reader, "reader");
 		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
 		this.destinations = Objects.requireNonNull(destinations, "destinations");
-		this.random = Objects.requireNonNull(random, "random");
+		this.returnTimes = new ReturnTimes(random);
 		this.throttles = new EntryThrottles(random);
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		this.decisions = Objects.requireNonNull(decisions, "decisions");
@@ -353,11 +356,7 @@
 		}
 
 		private MeshHeader retryAfter() {
-			double target = 1;
-			if (this.route != null) {
-				target = this.route.targetLatency().map((duration) -> duration.toNanos() / 1e9).orElse(target);
-			}
-			double seconds = target * (0.15 + 0.35 * EntryRouter.this.random.nextDouble());
+			double seconds = EntryRouter.this.returnTimes.next(this.route).toNanos() / NANOSECONDS_PER_SECOND;
 			return MeshHeader.newBuilder()
 				.setName(HttpHeaderNames.RETRY_AFTER.toString())
 				.setValue(String.format(Locale.ROOT, "%.3f", seconds))
