Cut the lowest priority first and forget failures that are over

The throttles then refused nearly all requests of every route (235 stock lookups and 250 quotes each two seconds at 40 s), though none of theirs failed any more: a route that is let through rarely kept the failed share of the outage, and as long as the orders failed it was cut in each interval. Lookups, which make eight calls each, kept a tenth of their demand, which alone took half of the one server left. Ruled out: late restarts (members known 1.5 s after the fault), "no-server" refusals (none after 35 s), full queues.

Change: failures older than 1.5 s cut nothing and fade; a route yields only once the routes of lower priority that take part are cut, and rises only after those of higher priority; the smallest share is 0.02; a request for which no server is known does not count as overload.

With a quarter of the deepest service left, serving orders and quotes whole would leave lookups a tenth; the entry does not know how many calls a request makes, so orders still lose.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottle.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottle.java
@@ -16,7 +16,7 @@
 	static final long INTERVAL = TimeUnit.MILLISECONDS.toNanos(250);
 
 	/** Longest time between changes, for routes with few requests. */
-	private static final long INTERVAL_MAXIMUM = TimeUnit.SECONDS.toNanos(1);
+	private static final long INTERVAL_MAXIMUM = TimeUnit.MILLISECONDS.toNanos(500);
 
 	/** Requests without which an interval is extended. */
 	private static final int MINIMUM_REQUESTS = 8;
@@ -30,8 +30,11 @@
 	/** Part of the added tolerance that is left with each lower priority. */
 	private static final double TOLERANCE_DECAY = 0.35;
 
-	/** Smallest share that is let through, so that a recovery is noticed. */
-	private static final double SHARE_MINIMUM = 0.1;
+	/**
+	 * Smallest share that is let through: a request may make ten calls, and these would
+	 * fill a service that has lost most of its servers.
+	 */
+	private static final double SHARE_MINIMUM = 0.02;
 
 	/** Smallest factor of one change: an interval may hold a few requests only. */
 	private static final double CUT_MINIMUM = 0.6;
@@ -45,7 +48,7 @@
 	 * Factor of a change while requests of higher priority fail: their losses end within
 	 * two seconds.
 	 */
-	private static final double YIELD = 0.85;
+	private static final double YIELD = 0.7;
 
 	/** Failed share above which a route takes part in an overload; errors are rarer. */
 	private static final double INVOLVED_SHARE = 0.02;
@@ -53,6 +56,15 @@
 	/** Failed share above which lower priorities are cut. */
 	private static final double HURT_SHARE = 0.05;
 
+	/**
+	 * Time after which failures say nothing of the present: a route that is let through
+	 * rarely would be judged by requests of an outage that is over.
+	 */
+	private static final long FAILURE_MEMORY = TimeUnit.MILLISECONDS.toNanos(1500);
+
+	/** Time in which the failed share falls to a third without failures. */
+	private static final double FAILURE_DECAY = TimeUnit.SECONDS.toNanos(1);
+
 	/** Weight of the newest request in the smoothed share: about the last 50 requests. */
 	private static final double SMOOTHING = 0.02;
 
@@ -68,7 +80,9 @@
 
 	private long intervalStart;
 
-	private long lastEnd;
+	private long lastFailure;
+
+	private boolean hasFailed;
 
 	private boolean started;
 
@@ -86,12 +100,12 @@
 
 	/**
 	 * Decides on one request.
-	 * @param yielding whether requests of a higher priority fail
+	 * @param pressure state of the routes of other priorities
 	 * @param now current time in nanoseconds
 	 * @return whether the request is let through
 	 */
-	boolean admit(boolean yielding, long now) {
-		update(yielding, now);
+	boolean admit(Pressure pressure, long now) {
+		update(pressure, now);
 		return this.share >= 1 || this.random.nextDouble() < this.share;
 	}
 
@@ -101,7 +115,10 @@
 	 * @param now current time in nanoseconds
 	 */
 	void ended(boolean succeeded, long now) {
-		this.lastEnd = now;
+		if (!succeeded) {
+			this.lastFailure = now;
+			this.hasFailed = true;
+		}
 		this.ended++;
 		this.failed += succeeded ? 0 : 1;
 		this.smoothedFailures += SMOOTHING * ((succeeded ? 0 : 1) - this.smoothedFailures);
@@ -117,7 +134,11 @@
 	 * @return whether they should
 	 */
 	boolean hurt(long now) {
-		return this.smoothedFailures > HURT_SHARE && now - this.lastEnd < INTERVAL_MAXIMUM;
+		return this.smoothedFailures > HURT_SHARE && failedRecently(now);
+	}
+
+	private boolean failedRecently(long now) {
+		return this.hasFailed && now - this.lastFailure < FAILURE_MEMORY;
 	}
 
 	/**
@@ -128,7 +149,16 @@
 		return this.share;
 	}
 
-	private void update(boolean yielding, long now) {
+	/**
+	 * Returns whether requests of the route failed not long ago, so that it may be part
+	 * of an overload.
+	 * @return whether it may be
+	 */
+	boolean involved() {
+		return this.smoothedFailures > INVOLVED_SHARE;
+	}
+
+	private void update(Pressure pressure, long now) {
 		if (!this.started) {
 			this.started = true;
 			this.intervalStart = now;
@@ -138,16 +168,16 @@
 			return;
 		}
 		double failedShare = (this.ended > 0) ? (double) this.failed / this.ended : 0;
+		if (this.failed == 0) {
+			this.smoothedFailures *= Math.exp(-elapsed / FAILURE_DECAY);
+		}
 		if (failedShare > this.tolerance && this.failed > 1) {
-			this.share = Math.max(SHARE_MINIMUM,
-					this.share * Math.max(CUT_MINIMUM, 1 - failedShare + this.tolerance / 2));
-			this.rise = RISE_MINIMUM;
+			cut(Math.max(CUT_MINIMUM, 1 - failedShare + this.tolerance / 2));
 		}
-		else if (yielding && this.smoothedFailures > INVOLVED_SHARE) {
-			this.share = Math.max(SHARE_MINIMUM, this.share * YIELD);
-			this.rise = RISE_MINIMUM;
+		else if (pressure == Pressure.YIELD && involved() && failedRecently(now)) {
+			cut(YIELD);
 		}
-		else {
+		else if (pressure == Pressure.NONE || !involved()) {
 			this.share = Math.min(1, this.share + this.rise);
 			this.rise = Math.min(RISE_MAXIMUM, 2 * this.rise);
 		}
@@ -156,4 +186,28 @@
 		this.failed = 0;
 	}
 
+	private void cut(double factor) {
+		this.share = Math.max(SHARE_MINIMUM, this.share * factor);
+		this.rise = RISE_MINIMUM;
+	}
+
+	/**
+	 * What routes of other priorities ask of a route.
+	 */
+	enum Pressure {
+
+		/** Routes of higher priority are well. */
+		NONE,
+
+		/**
+		 * Routes of higher priority are refused in part: the room that becomes free is
+		 * theirs.
+		 */
+		HOLD,
+
+		/** Routes of higher priority fail, and no lower one is left to be cut. */
+		YIELD
+
+	}
+
 }
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottles.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottles.java
@@ -5,13 +5,18 @@
 import java.util.Map;
 import java.util.random.RandomGenerator;
 
+import org.wasabicart.core.mesh.EntryThrottle.Pressure;
+
 /**
  * Throttles of all routes at one entry. While requests of a higher priority fail, routes
- * that fail as well are cut: they meet at a service that is short of room, whatever lies
- * between. Routes that do not fail are left alone.
+ * that fail as well are cut, the lowest priority first: they meet at a service that is
+ * short of room, whatever lies between. Routes that do not fail are left alone.
  */
 public final class EntryThrottles {
 
+	/** Share of a lower priority that is cut before a higher one yields. */
+	private static final double LOWER_SHARE = 0.1;
+
 	private final RandomGenerator random;
 
 	private final Map<String, EntryThrottle> throttles = new HashMap<>();
@@ -31,16 +36,26 @@
 	 * @return whether the request is let through
 	 */
 	public boolean admit(MeshRoute route, long now) {
-		return throttle(route).admit(yields(route.priority(), now), now);
+		return throttle(route).admit(pressure(route.priority(), now), now);
 	}
 
-	private boolean yields(int priority, long now) {
+	private Pressure pressure(int priority, long now) {
+		boolean higherHurt = false;
+		boolean higherCut = false;
+		boolean lowerLeft = false;
 		for (EntryThrottle other : this.throttles.values()) {
-			if (other.priority() < priority && other.hurt(now)) {
-				return true;
+			if (other.priority() < priority) {
+				higherHurt |= other.hurt(now);
+				higherCut |= other.share() < 1;
 			}
+			else if (other.priority() > priority) {
+				lowerLeft |= other.involved() && other.share() > LOWER_SHARE;
+			}
+		}
+		if (higherHurt && !lowerLeft) {
+			return Pressure.YIELD;
 		}
-		return false;
+		return (higherHurt || higherCut) ? Pressure.HOLD : Pressure.NONE;
 	}
 
 	/**
--- a/wasabicart-core/src/test/java/org/wasabicart/core/mesh/EntryThrottlesTests.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/mesh/EntryThrottlesTests.java
@@ -1,9 +1,12 @@
 package org.wasabicart.core.mesh;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
@@ -57,4 +60,74 @@
 		assertThat(this.served.get("elsewhere")).isEqualTo(demand);
 	}
 
+	/**
+	 * Guards against a route that stays refused after an outage because a route of a
+	 * higher priority still fails, though its own requests no longer do.
+	 */
+	@Test
+	void routeRecoversFromAnOutageWhileAHigherPriorityStillFails() {
+		MeshRoute order = route("order", 0);
+		MeshRoute elsewhere = route("elsewhere", 2);
+		int requestsPerSecond = 8;
+		int outageSeconds = 3;
+		int recoverySeconds = 8;
+		int seconds = 20;
+		for (int i = 0; i < seconds * requestsPerSecond; i++) {
+			long now = (i + 1) * (1_000_000_000L / requestsPerSecond);
+			boolean outage = i < outageSeconds * requestsPerSecond;
+			if (this.throttles.admit(order, now)) {
+				this.throttles.ended(order, i % 3 != 0, now);
+			}
+			if (this.throttles.admit(elsewhere, now)) {
+				this.throttles.ended(elsewhere, !outage, now);
+				if (i >= (outageSeconds + recoverySeconds) * requestsPerSecond) {
+					this.served.merge("elsewhere", 1, Integer::sum);
+				}
+			}
+		}
+		int demand = (seconds - outageSeconds - recoverySeconds) * requestsPerSecond;
+		assertThat(this.served.get("elsewhere")).isEqualTo(demand);
+	}
+
+	/**
+	 * Guards against expensive requests of a low priority that take the room of cheap
+	 * ones of a higher priority: a bottleneck at a quarter of its usual capacity, where
+	 * one lookup makes eight calls, one order four and one quote is a call itself.
+	 */
+	@Test
+	void higherPrioritiesKeepTheirRoomWhenTheBottleneckShrinks() {
+		MeshRoute order = route("order", 0);
+		MeshRoute quote = route("quote", 1);
+		MeshRoute lookup = route("lookup", 2);
+		Map<String, Integer> calls = Map.of("order", 4, "quote", 1, "lookup", 8);
+		int roundsPerSecond = 8;
+		double callsPerRound = 7;
+		int seconds = 40;
+		double free = 0;
+		Random random = new Random(3);
+		for (int round = 0; round < seconds * roundsPerSecond; round++) {
+			long now = (round + 1) * (1_000_000_000L / roundsPerSecond);
+			free = Math.min(2 * callsPerRound, free + callsPerRound);
+			List<MeshRoute> arrivals = new ArrayList<>(List.of(lookup, lookup, order, quote));
+			Collections.shuffle(arrivals, random);
+			for (MeshRoute route : arrivals) {
+				free = play(route, calls.get(route.name()), free, now);
+			}
+		}
+		int demand = seconds * roundsPerSecond;
+		assertThat(this.served.get("order")).isGreaterThan(demand * 7 / 10);
+		assertThat(this.served.get("quote")).isGreaterThan(demand * 7 / 10);
+	}
+
+	private double play(MeshRoute route, int calls, double free, long now) {
+		if (!this.throttles.admit(route, now)) {
+			return free;
+		}
+		boolean succeeded = free >= calls;
+		double left = succeeded ? free - calls : 0;
+		this.throttles.ended(route, succeeded, now);
+		this.served.merge(route.name(), succeeded ? 1 : 0, Integer::sum);
+		return left;
+	}
+
 }
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -346,7 +346,9 @@
 				deliver(this.failure);
 				return;
 			}
-			recordCapacity(false);
+			if (this.sends > 0) {
+				recordCapacity(false);
+			}
 			// Once the request was offered to a server that failed, it may have run.
 			if (this.offers > 0) {
 				answer(EntryAnswer.own(HttpResponseStatus.BAD_GATEWAY.code()), "failed");
