Pass header fields between nodes as one block

Each header field was built, sized, encoded, parsed and encoded again as a message of its own at every hop, and a frame passed four handlers and three buffers.

Change: a node that reads a message keeps its fields as checked lines, which travel as bytes and are written as they are; requests and answers are written into one buffer of the right size; a frame has one decoder and one encoder.

Tests: HeaderBlockTests and FrameCodecTests guard what the lines and the frames must keep; BackendConnectionTests send bytes now, with the same checks.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendConnection.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendConnection.java
@@ -5,11 +5,11 @@
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -64,15 +64,16 @@
 
 	/**
 	 * Sends a request.
-	 * @param request request
+	 * @param message whole request
+	 * @param method method of the request
 	 * @param requestId id that the answer must carry
 	 * @param listener receives the outcome
 	 */
-	void send(FullHttpRequest request, String requestId, Exchange.Listener listener) {
+	void send(ByteBuf message, HttpMethod method, String requestId, Exchange.Listener listener) {
 		this.exchange = new Exchange(requestId, listener);
 		this.skipped = false;
-		this.decoder.expect(request.method());
-		this.channel.writeAndFlush(request);
+		this.decoder.expect(method);
+		this.channel.writeAndFlush(message);
 	}
 
 	long idleSince() {
@@ -91,6 +92,10 @@
 		return this.reusable && this.channel.isActive();
 	}
 
+	ByteBufAllocator allocator() {
+		return this.channel.alloc();
+	}
+
 	void close() {
 		this.reusable = false;
 		this.channel.close();
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendPool.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendPool.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 
 /**
  * Connections to the local backend server. The connection that was used last is used
@@ -81,7 +80,7 @@
 				new ChannelInitializer<Channel>() {
 					@Override
 					protected void initChannel(Channel channel) {
-						channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
+						channel.pipeline().addLast(decoder, connection);
 					}
 				});
 		future.addListener((connected) -> {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Call.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Call.java
@@ -1,9 +1,5 @@
 package org.wasabicart.mesh;
 
-import java.util.List;
-
-import org.wasabicart.wire.generated.mesh.MeshHeader;
-
 /**
  * One call for a backend server.
  *
@@ -20,7 +16,7 @@
  * @param latestStart time in nanoseconds until which the call may wait for a slot
  * @param route name of the route
  */
-record Call(String requestId, String method, String target, List<MeshHeader> headers, byte[] body, long deadline,
+record Call(String requestId, String method, String target, HeaderBlock headers, byte[] body, long deadline,
 		String instance, String callerService, boolean idempotent, int priority, long latestStart, String route) {
 
 	/**
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallMessages.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallMessages.java
@@ -2,7 +2,6 @@
 
 import java.util.concurrent.TimeUnit;
 
-import com.google.protobuf.ByteString;
 import com.google.protobuf.UnsafeByteOperations;
 
 import org.wasabicart.core.mesh.GateRefusal;
@@ -29,7 +28,7 @@
 				.setRequestId(call.requestId())
 				.setMethod(call.method())
 				.setTarget(call.target())
-				.addAllHeaders(call.headers())
+				.setHeaders(call.headers().toByteString())
 				.setBody(UnsafeByteOperations.unsafeWrap(call.body()))
 				.setRemainingMilliseconds(remaining(call.deadline(), now))
 				.setInstance(call.instance())
@@ -46,8 +45,8 @@
 	}
 
 	static Call toCall(MeshCall message, long now) {
-		return new Call(message.getRequestId(), message.getMethod(), message.getTarget(), message.getHeadersList(),
-				message.getBody().toByteArray(),
+		return new Call(message.getRequestId(), message.getMethod(), message.getTarget(),
+				HeaderBlock.of(message.getHeaders()), message.getBody().toByteArray(),
 				now + TimeUnit.MILLISECONDS.toNanos(message.getRemainingMilliseconds()), message.getInstance(),
 				message.getCallerService(), message.getIdempotent(), message.getPriority(),
 				now + TimeUnit.MILLISECONDS.toNanos(message.getPatienceMilliseconds()), message.getRoute());
@@ -58,7 +57,7 @@
 		if (result instanceof CallResult.Answered answered) {
 			reply.setResult(MeshResult.ANSWERED)
 				.setStatus(answered.status())
-				.addAllHeaders(answered.headers())
+				.setHeaders(answered.headers().toByteString())
 				.setBody(UnsafeByteOperations.unsafeWrap(answered.body()));
 		}
 		else if (result instanceof CallResult.Refused refused) {
@@ -76,16 +75,13 @@
 
 	static CallResult toResult(MeshReply reply) {
 		return switch (reply.getResult()) {
-			case ANSWERED -> new CallResult.Answered(reply.getStatus(), reply.getHeadersList(), bytes(reply.getBody()));
+			case ANSWERED -> new CallResult.Answered(reply.getStatus(), HeaderBlock.of(reply.getHeaders()),
+					reply.getBody().toByteArray());
 			case REFUSED -> new CallResult.Refused(refusal(reply.getReason()), reply.getOffered());
 			default -> new CallResult.Failed(reply.getReason());
 		};
 	}
 
-	private static byte[] bytes(ByteString body) {
-		return body.toByteArray();
-	}
-
 	private static GateRefusal refusal(String name) {
 		for (GateRefusal refusal : GateRefusal.values()) {
 			if (refusal.name().equals(name)) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallResult.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallResult.java
@@ -1,9 +1,6 @@
 package org.wasabicart.mesh;
 
-import java.util.List;
-
 import org.wasabicart.core.mesh.GateRefusal;
-import org.wasabicart.wire.generated.mesh.MeshHeader;
 
 /**
  * Outcome of one call.
@@ -17,7 +14,7 @@
 	 * @param headers header fields of the server
 	 * @param body whole body
 	 */
-	record Answered(int status, List<MeshHeader> headers, byte[] body) implements CallResult {
+	record Answered(int status, HeaderBlock headers, byte[] body) implements CallResult {
 
 	}
 
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryAnswer.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryAnswer.java
@@ -1,9 +1,5 @@
 package org.wasabicart.mesh;
 
-import java.util.List;
-
-import org.wasabicart.wire.generated.mesh.MeshHeader;
-
 /**
  * Answer to a caller.
  *
@@ -11,16 +7,16 @@
  * @param headers header fields without those of the connection
  * @param body whole body
  */
-record EntryAnswer(int status, List<MeshHeader> headers, byte[] body) {
+record EntryAnswer(int status, HeaderBlock headers, byte[] body) {
 
 	private static final byte[] NO_BODY = {};
 
 	static EntryAnswer own(int status) {
-		return new EntryAnswer(status, List.of(), NO_BODY);
+		return new EntryAnswer(status, HeaderBlock.EMPTY, NO_BODY);
 	}
 
-	static EntryAnswer own(int status, MeshHeader header) {
-		return new EntryAnswer(status, List.of(header), NO_BODY);
+	static EntryAnswer own(int status, HeaderBlock headers) {
+		return new EntryAnswer(status, headers, NO_BODY);
 	}
 
 }
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryConnection.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryConnection.java
@@ -7,25 +7,22 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 
-import io.netty.buffer.Unpooled;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import org.jboss.logging.Logger;
 
-import org.wasabicart.wire.generated.mesh.MeshHeader;
-
 /**
  * One caller's connection. Requests run at the same time, answers go out in the order of
  * the requests.
@@ -39,6 +36,13 @@
 
 	private static final byte[] NO_BODY = {};
 
+	private static final AsciiString VERSION = AsciiString.cached("HTTP/1.1 ");
+
+	/**
+	 * Bytes of the status line and of the fields that this node adds, at most usually.
+	 */
+	private static final int HEAD_BYTES = 128;
+
 	private final EntryHandler handler;
 
 	private final BooleanSupplier closing;
@@ -49,6 +53,8 @@
 
 	private Channel channel;
 
+	private ChannelHandlerContext output;
+
 	private long lastUse = System.nanoTime();
 
 	private boolean closeSent;
@@ -68,6 +74,8 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext context) {
 		this.channel = context.channel();
+		// Answers are whole messages, which pass no encoder.
+		this.output = this.channel.pipeline().firstContext();
 	}
 
 	@Override
@@ -115,25 +123,36 @@
 	private void write(Slot slot) {
 		EntryAnswer answer = slot.answer;
 		boolean close = !slot.keepAlive || this.closing.getAsBoolean() && this.slots.isEmpty();
-		byte[] body = slot.head ? NO_BODY : answer.body();
-		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-				HttpResponseStatus.valueOf(answer.status()), Unpooled.wrappedBuffer(body));
-		for (MeshHeader field : answer.headers()) {
-			response.headers().add(field.getName(), field.getValue());
-		}
-		if (!slot.head && answer.status() != HttpResponseStatus.NO_CONTENT.code()
-				&& answer.status() != HttpResponseStatus.NOT_MODIFIED.code()) {
-			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
-		}
+		ByteBuf message = message(answer, slot.head, close);
 		if (close) {
-			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 			this.closeSent = true;
-			this.channel.write(response).addListener(ChannelFutureListener.CLOSE);
+			this.output.write(message).addListener(ChannelFutureListener.CLOSE);
 			cancelAll();
 		}
 		else {
-			this.channel.write(response, this.channel.voidPromise());
+			this.output.write(message, this.output.voidPromise());
+		}
+	}
+
+	private ByteBuf message(EntryAnswer answer, boolean head, boolean close) {
+		byte[] body = head ? NO_BODY : answer.body();
+		HttpResponseStatus status = HttpResponseStatus.valueOf(answer.status());
+		ByteBuf message = this.channel.alloc().ioBuffer(HEAD_BYTES + answer.headers().size() + body.length);
+		ByteBufUtil.writeAscii(message, VERSION);
+		ByteBufUtil.writeAscii(message, status.codeAsText());
+		message.writeByte(' ');
+		ByteBufUtil.writeAscii(message, status.reasonPhrase());
+		HeaderBlock.endLine(message);
+		answer.headers().writeTo(message);
+		if (!head && answer.status() != HttpResponseStatus.NO_CONTENT.code()
+				&& answer.status() != HttpResponseStatus.NOT_MODIFIED.code()) {
+			HeaderBlock.writeField(message, HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length));
+		}
+		if (close) {
+			HeaderBlock.writeField(message, HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		}
+		HeaderBlock.endLine(message);
+		return message.writeBytes(body);
 	}
 
 	private void cancelAll() {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRequestReader.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRequestReader.java
@@ -75,7 +75,7 @@
 			.orElse((long) ((callerDeadline - start) * PATIENCE_SHARE_OF_DEADLINE));
 		byte[] body = request.content().isReadable() ? ByteBufUtil.getBytes(request.content()) : NO_BODY;
 		return new Call(requestId(request), request.method().name(), request.uri(),
-				HttpFields.endToEnd(request.headers(), this.droppedHeaders), body, deadline, "", this.callerService,
+				HeaderBlock.endToEnd(request.headers(), this.droppedHeaders), body, deadline, "", this.callerService,
 				route.idempotent(), route.priority(), Math.min(deadline, start + patience), route.name());
 	}
 
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -30,7 +30,6 @@
 import org.wasabicart.core.mesh.SplitRotation;
 import org.wasabicart.core.model.NodeId;
 import org.wasabicart.core.model.ServiceName;
-import org.wasabicart.wire.generated.mesh.MeshHeader;
 
 /**
  * Finds the route of each request, places it at a server, and decides what follows when
@@ -357,12 +356,9 @@
 			answer(EntryAnswer.own(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), retryAfter()), "refused");
 		}
 
-		private MeshHeader retryAfter() {
+		private HeaderBlock retryAfter() {
 			double seconds = EntryRouter.this.returnTimes.next(this.route).toNanos() / NANOSECONDS_PER_SECOND;
-			return MeshHeader.newBuilder()
-				.setName(HttpHeaderNames.RETRY_AFTER.toString())
-				.setValue(String.format(Locale.ROOT, "%.3f", seconds))
-				.build();
+			return HeaderBlock.of(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", seconds));
 		}
 
 		private void timeout() {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
@@ -8,6 +8,7 @@
 import java.util.function.IntSupplier;
 
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpMethod;
 import org.jboss.logging.Logger;
 
 import org.wasabicart.core.mesh.CallOrigins;
@@ -326,7 +327,8 @@
 				return;
 			}
 			this.connection = opened;
-			this.connection.send(LocalBackend.this.messages.request(this.call, remaining), this.call.requestId(), this);
+			this.connection.send(LocalBackend.this.messages.request(this.call, remaining, opened.allocator()),
+					HttpMethod.valueOf(this.call.method()), this.call.requestId(), this);
 		}
 
 		@Override
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendConnectionTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendConnectionTests.java
@@ -6,10 +6,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -26,23 +23,21 @@
 	private final BackendConnection connection = new BackendConnection("Id", this.decoder, (idle) -> {
 	});
 
-	private final EmbeddedChannel channel = new EmbeddedChannel(this.decoder, new HttpRequestEncoder(),
-			this.connection);
+	private final EmbeddedChannel channel = new EmbeddedChannel(this.decoder, this.connection);
 
 	private void send(String id) {
-		this.connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), id,
-				new BackendConnection.Exchange.Listener() {
-					@Override
-					public void answered(BackendAnswer answer) {
-						BackendConnectionTests.this.outcomes.add(answer.head().status().code() + " "
-								+ new String(answer.body(), StandardCharsets.UTF_8));
-					}
-
-					@Override
-					public void failed(String reason) {
-						BackendConnectionTests.this.outcomes.add(reason);
-					}
-				});
+		this.connection.send(Unpooled.EMPTY_BUFFER, HttpMethod.GET, id, new BackendConnection.Exchange.Listener() {
+			@Override
+			public void answered(BackendAnswer answer) {
+				BackendConnectionTests.this.outcomes
+					.add(answer.head().status().code() + " " + new String(answer.body(), StandardCharsets.UTF_8));
+			}
+
+			@Override
+			public void failed(String reason) {
+				BackendConnectionTests.this.outcomes.add(reason);
+			}
+		});
 	}
 
 	private void receive(String text) {
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
@@ -38,8 +38,9 @@
 
 	private void send(String id, boolean idempotent) {
 		long now = System.nanoTime();
-		this.link.send(new Call(id, "GET", "/", List.of(), new byte[0], now + 1_000_000_000L, "i-1", "service",
-				idempotent, 0, now, "route"),
+		this.link.send(
+				new Call(id, "GET", "/", HeaderBlock.EMPTY, new byte[0], now + 1_000_000_000L, "i-1", "service",
+						idempotent, 0, now, "route"),
 				(result) -> this.events.add(id + " " + result.getClass().getSimpleName()));
 	}
 
