Do not cut a route for refusals of the first gate

Their servers' slots are held by nested calls that wait for the deepest service, so some traces are refused at the gate; that counted as a failure, and as orders failed as well, the entry took the traces for a part of the overload and cut them.

Change: a request refused by the first gate is told from one that failed after work was spent. Only the latter cuts its route or makes it yield; the former still tells lower priorities that a higher one is hurt, and cuts its own route only above one half, to save asking in vain.

Tests: refusalsOfTheFirstGateDoNotCutARoute, which the earlier rule fails by its definition (a fifth refused is above the tolerance), and routeIsCutWhereTheGateRefusesNearlyAll.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottle.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottle.java
@@ -8,7 +8,8 @@
  * down. Answers demand beyond the capacity of a service deep in the call graph: what
  * would be given up half-way is refused before any work is spent on it. The share that is
  * let through falls by the share that failed and rises while little fails, so no
- * knowledge of the graph is needed.
+ * knowledge of the graph is needed. Requests that the first gate refuses cost little, and
+ * the gate knows its slots; they are cut only where most are refused.
  */
 final class EntryThrottle {
 
@@ -57,16 +58,9 @@
 	private static final double HURT_SHARE = 0.05;
 
 	/**
-	 * Time after which failures say nothing of the present: a route that is let through
-	 * rarely would be judged by requests of an outage that is over.
+	 * Share of requests refused by the first gate above which they are not sent there.
 	 */
-	private static final long FAILURE_MEMORY = TimeUnit.MILLISECONDS.toNanos(1500);
-
-	/** Time in which the failed share falls to a third without failures. */
-	private static final double FAILURE_DECAY = TimeUnit.SECONDS.toNanos(1);
-
-	/** Weight of the newest request in the smoothed share: about the last 50 requests. */
-	private static final double SMOOTHING = 0.02;
+	private static final double REFUSED_TOLERANCE = 0.5;
 
 	private final int priority;
 
@@ -80,17 +74,17 @@
 
 	private long intervalStart;
 
-	private long lastFailure;
-
-	private boolean hasFailed;
-
 	private boolean started;
 
 	private int ended;
 
-	private int failed;
+	private int refused;
+
+	private int wasted;
+
+	private final LossAverage lost = new LossAverage();
 
-	private double smoothedFailures;
+	private final LossAverage lostHalfWay = new LossAverage();
 
 	EntryThrottle(int priority, RandomGenerator random) {
 		this.priority = priority;
@@ -111,17 +105,15 @@
 
 	/**
 	 * Records the end of a request that was let through.
-	 * @param succeeded whether it did not fail for lack of capacity
+	 * @param end how it ended
 	 * @param now current time in nanoseconds
 	 */
-	void ended(boolean succeeded, long now) {
-		if (!succeeded) {
-			this.lastFailure = now;
-			this.hasFailed = true;
-		}
+	void ended(RequestEnd end, long now) {
 		this.ended++;
-		this.failed += succeeded ? 0 : 1;
-		this.smoothedFailures += SMOOTHING * ((succeeded ? 0 : 1) - this.smoothedFailures);
+		this.refused += (end == RequestEnd.REFUSED) ? 1 : 0;
+		this.wasted += (end == RequestEnd.WASTED) ? 1 : 0;
+		this.lost.record(end != RequestEnd.SERVED, now);
+		this.lostHalfWay.record(end == RequestEnd.WASTED, now);
 	}
 
 	int priority() {
@@ -134,11 +126,7 @@
 	 * @return whether they should
 	 */
 	boolean hurt(long now) {
-		return this.smoothedFailures > HURT_SHARE && failedRecently(now);
-	}
-
-	private boolean failedRecently(long now) {
-		return this.hasFailed && now - this.lastFailure < FAILURE_MEMORY;
+		return this.lost.share() > HURT_SHARE && this.lost.recent(now);
 	}
 
 	/**
@@ -150,12 +138,12 @@
 	}
 
 	/**
-	 * Returns whether requests of the route failed not long ago, so that it may be part
-	 * of an overload.
+	 * Returns whether requests of the route failed half-way not long ago, so that it may
+	 * be part of an overload further down.
 	 * @return whether it may be
 	 */
 	boolean involved() {
-		return this.smoothedFailures > INVOLVED_SHARE;
+		return this.lostHalfWay.share() > INVOLVED_SHARE;
 	}
 
 	private void update(Pressure pressure, long now) {
@@ -167,14 +155,21 @@
 		if (elapsed < INTERVAL || this.ended < MINIMUM_REQUESTS && elapsed < INTERVAL_MAXIMUM) {
 			return;
 		}
-		double failedShare = (this.ended > 0) ? (double) this.failed / this.ended : 0;
-		if (this.failed == 0) {
-			this.smoothedFailures *= Math.exp(-elapsed / FAILURE_DECAY);
+		double wastedShare = (this.ended > 0) ? (double) this.wasted / this.ended : 0;
+		double refusedShare = (this.ended > 0) ? (double) this.refused / this.ended : 0;
+		if (this.refused + this.wasted == 0) {
+			this.lost.fade(elapsed);
+		}
+		if (this.wasted == 0) {
+			this.lostHalfWay.fade(elapsed);
+		}
+		if (wastedShare > this.tolerance && this.wasted > 1) {
+			cut(Math.max(CUT_MINIMUM, 1 - wastedShare + this.tolerance / 2));
 		}
-		if (failedShare > this.tolerance && this.failed > 1) {
-			cut(Math.max(CUT_MINIMUM, 1 - failedShare + this.tolerance / 2));
+		else if (refusedShare > REFUSED_TOLERANCE && this.refused > 1) {
+			cut(Math.max(CUT_MINIMUM, 1 - refusedShare + REFUSED_TOLERANCE));
 		}
-		else if (pressure == Pressure.YIELD && involved() && failedRecently(now)) {
+		else if (pressure == Pressure.YIELD && involved() && this.lostHalfWay.recent(now)) {
 			cut(YIELD);
 		}
 		else if (pressure == Pressure.NONE || !involved()) {
@@ -183,7 +178,8 @@
 		}
 		this.intervalStart = now;
 		this.ended = 0;
-		this.failed = 0;
+		this.refused = 0;
+		this.wasted = 0;
 	}
 
 	private void cut(double factor) {
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottles.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottles.java
@@ -64,8 +64,17 @@
 	 * @param succeeded whether it did not fail for lack of capacity
 	 * @param now current time in nanoseconds
 	 */
-	public void ended(MeshRoute route, boolean succeeded, long now) {
-		throttle(route).ended(succeeded, now);
+	public void ended(MeshRoute route, RequestEnd end, long now) {
+		throttle(route).ended(end, now);
+	}
+
+	/**
+	 * Returns the share of a route's requests that is let through.
+	 * @param route route
+	 * @return the share, above 0 and at most 1
+	 */
+	public double share(MeshRoute route) {
+		return throttle(route).share();
 	}
 
 	private EntryThrottle throttle(MeshRoute route) {
--- a/wasabicart-core/src/test/java/org/wasabicart/core/mesh/EntryThrottlesTests.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/mesh/EntryThrottlesTests.java
@@ -51,7 +51,7 @@
 				}
 				boolean succeeded = route == elsewhere || free >= 1;
 				free -= (succeeded && route != elsewhere) ? 1 : 0;
-				this.throttles.ended(route, succeeded, now);
+				this.throttles.ended(route, end(succeeded), now);
 				this.served.merge(route.name(), succeeded ? 1 : 0, Integer::sum);
 			}
 		}
@@ -76,10 +76,10 @@
 			long now = (i + 1) * (1_000_000_000L / requestsPerSecond);
 			boolean outage = i < outageSeconds * requestsPerSecond;
 			if (this.throttles.admit(order, now)) {
-				this.throttles.ended(order, i % 3 != 0, now);
+				this.throttles.ended(order, end(i % 3 != 0), now);
 			}
 			if (this.throttles.admit(elsewhere, now)) {
-				this.throttles.ended(elsewhere, !outage, now);
+				this.throttles.ended(elsewhere, end(!outage), now);
 				if (i >= (outageSeconds + recoverySeconds) * requestsPerSecond) {
 					this.served.merge("elsewhere", 1, Integer::sum);
 				}
@@ -125,9 +125,65 @@
 		}
 		boolean succeeded = free >= calls;
 		double left = succeeded ? free - calls : 0;
-		this.throttles.ended(route, succeeded, now);
+		this.throttles.ended(route, end(succeeded), now);
 		this.served.merge(route.name(), succeeded ? 1 : 0, Integer::sum);
 		return left;
 	}
 
+	private static RequestEnd end(boolean succeeded) {
+		return succeeded ? RequestEnd.SERVED : RequestEnd.WASTED;
+	}
+
+	/**
+	 * Guards against a route that is refused at the entry although its own service has
+	 * room for most of its requests, because a route of a higher priority fails
+	 * elsewhere.
+	 */
+	@Test
+	void refusalsOfTheFirstGateDoNotCutARoute() {
+		MeshRoute order = route("order", 0);
+		MeshRoute trace = route("trace", 2);
+		int requestsPerSecond = 20;
+		int demand = 20 * requestsPerSecond;
+		int admitted = 0;
+		for (int i = 0; i < demand; i++) {
+			long now = (i + 1) * (1_000_000_000L / requestsPerSecond);
+			if (this.throttles.admit(order, now)) {
+				this.throttles.ended(order, end(i % 2 == 0), now);
+			}
+			if (this.throttles.admit(trace, now)) {
+				admitted++;
+				this.throttles.ended(trace, (i % 5 == 0) ? RequestEnd.REFUSED : RequestEnd.SERVED, now);
+			}
+		}
+		assertThat(admitted).isEqualTo(demand);
+	}
+
+	/**
+	 * Guards against a gate that is asked in vain again and again: what it refuses costs
+	 * processor time at both nodes.
+	 */
+	@Test
+	void routeIsCutWhereTheGateRefusesNearlyAll() {
+		MeshRoute quote = route("quote", 1);
+		int requestsPerSecond = 100;
+		int seconds = 20;
+		int capacityPerSecond = 10;
+		int admitted = 0;
+		double free = 0;
+		for (int i = 0; i < seconds * requestsPerSecond; i++) {
+			long now = (i + 1) * (1_000_000_000L / requestsPerSecond);
+			free = Math.min(5, free + (double) capacityPerSecond / requestsPerSecond);
+			if (this.throttles.admit(quote, now)) {
+				admitted++;
+				boolean served = free >= 1;
+				free -= served ? 1 : 0;
+				this.served.merge("quote", served ? 1 : 0, Integer::sum);
+				this.throttles.ended(quote, served ? RequestEnd.SERVED : RequestEnd.REFUSED, now);
+			}
+		}
+		assertThat(admitted).isLessThan(seconds * requestsPerSecond / 2);
+		assertThat(this.served.get("quote")).isGreaterThan(seconds * capacityPerSecond * 9 / 10);
+	}
+
 }
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -26,6 +26,7 @@
 import org.wasabicart.core.mesh.MeshConfiguration;
 import org.wasabicart.core.mesh.MeshRoute;
 import org.wasabicart.core.mesh.RepeatBudget;
+import org.wasabicart.core.mesh.RequestEnd;
 import org.wasabicart.core.mesh.ReturnTimes;
 import org.wasabicart.core.mesh.SplitRotation;
 import org.wasabicart.core.model.NodeId;
@@ -282,13 +283,14 @@
 		}
 
 		private void deliver(CallResult.Answered answered) {
-			recordCapacity(answered.status() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code());
+			recordCapacity((answered.status() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) ? RequestEnd.SERVED
+					: RequestEnd.WASTED);
 			answer(new EntryAnswer(answered.status(), answered.headers(), answered.body()), "answered");
 		}
 
-		private void recordCapacity(boolean succeeded) {
+		private void recordCapacity(RequestEnd end) {
 			if (this.counted) {
-				EntryRouter.this.throttles.ended(this.route, succeeded, System.nanoTime());
+				EntryRouter.this.throttles.ended(this.route, end, System.nanoTime());
 			}
 		}
 
@@ -334,7 +336,7 @@
 				deliver(this.failure);
 				return;
 			}
-			recordCapacity(true);
+			recordCapacity(RequestEnd.SERVED);
 			answer(EntryAnswer.own(HttpResponseStatus.BAD_GATEWAY.code()), "failed");
 		}
 
@@ -346,7 +348,7 @@
 				return;
 			}
 			if (this.sends > 0) {
-				recordCapacity(false);
+				recordCapacity((this.offers > 0) ? RequestEnd.WASTED : RequestEnd.REFUSED);
 			}
 			// Once the request was offered to a server that failed, it may have run.
 			if (this.offers > 0) {
@@ -369,7 +371,7 @@
 					this.requestId, this.route.name(), this.member.member().node(), this.sends,
 					TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.start));
 			CallHandle open = this.handle;
-			recordCapacity(false);
+			recordCapacity(RequestEnd.WASTED);
 			answer(EntryAnswer.own(HttpResponseStatus.GATEWAY_TIMEOUT.code()), "timeout");
 			if (open != null) {
 				open.cancel();
