Still ask servers that shed at random

Change: a refusal by the server, while its gate had a slot, does not count.

Test: serverThatShedsAtRandomIsStillAsked.

The price of less urgent work grows, since orders, whose calls meet the same service, cannot be told apart there.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottle.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottle.java
@@ -112,7 +112,7 @@
 		this.ended++;
 		this.refused += (end == RequestEnd.REFUSED) ? 1 : 0;
 		this.wasted += (end == RequestEnd.WASTED) ? 1 : 0;
-		this.lost.record(end != RequestEnd.SERVED, now);
+		this.lost.record(end == RequestEnd.REFUSED || end == RequestEnd.WASTED, now);
 		this.lostHalfWay.record(end == RequestEnd.WASTED, now);
 	}
 
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/RequestEnd.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/RequestEnd.java
@@ -12,6 +12,12 @@
 	/** Refused by the gates of the servers that it was placed at, before any work. */
 	REFUSED,
 
+	/**
+	 * Refused by a server although its gate had a slot: fewer requests would be refused
+	 * alike.
+	 */
+	SHED,
+
 	/**
 	 * Failed after a server had worked on it: a call that it made was refused or late.
 	 */
--- a/wasabicart-core/src/test/java/org/wasabicart/core/mesh/EntryThrottlesTests.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/mesh/EntryThrottlesTests.java
@@ -186,4 +186,24 @@
 		assertThat(this.served.get("quote")).isGreaterThan(seconds * capacityPerSecond * 9 / 10);
 	}
 
+	/**
+	 * Guards against callers that are refused at the entry because a server that has room
+	 * refuses more than half of what it gets, whatever its load.
+	 */
+	@Test
+	void serverThatShedsAtRandomIsStillAsked() {
+		MeshRoute quote = route("quote", 1);
+		int requestsPerSecond = 20;
+		int demand = 20 * requestsPerSecond;
+		int admitted = 0;
+		for (int i = 0; i < demand; i++) {
+			long now = (i + 1) * (1_000_000_000L / requestsPerSecond);
+			if (this.throttles.admit(quote, now)) {
+				admitted++;
+				this.throttles.ended(quote, (i % 20 < 11) ? RequestEnd.SHED : RequestEnd.SERVED, now);
+			}
+		}
+		assertThat(admitted).isEqualTo(demand);
+	}
+
 }
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -187,6 +187,8 @@
 
 		private int overloads;
 
+		private boolean shed;
+
 		private boolean counted;
 
 		private CallResult.Answered failure;
@@ -310,7 +312,11 @@
 			switch (refused.reason()) {
 				case WRONG_INSTANCE, DRAINING -> this.member.avoid(now + AVOID_LEAVING);
 				case UNREACHABLE -> this.member.avoid(now + AVOID_UNREACHABLE);
-				case OVERLOADED, SHED -> this.overloads++;
+				case OVERLOADED -> this.overloads++;
+				case SHED -> {
+					this.overloads++;
+					this.shed = true;
+				}
 				default -> {
 				}
 			}
@@ -348,7 +354,7 @@
 				return;
 			}
 			if (this.sends > 0) {
-				recordCapacity((this.offers > 0) ? RequestEnd.WASTED : RequestEnd.REFUSED);
+				recordCapacity(refusedEnd());
 			}
 			// Once the request was offered to a server that failed, it may have run.
 			if (this.offers > 0) {
@@ -357,6 +363,13 @@
 			}
 			answer(EntryAnswer.own(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), retryAfter()), "refused");
 		}
+		private RequestEnd refusedEnd() {
+			if (this.offers > 0) {
+				return RequestEnd.WASTED;
+			}
+			return this.shed ? RequestEnd.SHED : RequestEnd.REFUSED;
+		}
+
 
 		private HeaderBlock retryAfter() {
 			double seconds = EntryRouter.this.returnTimes.next(this.route).toNanos() / NANOSECONDS_PER_SECOND;
