Write decision lines without a formatter

Change: lines are put together from names and values, the time up to the second is kept, metrics are found without building a key. The lines of refusals also tell the share of the route that is let through, which decided.

Test: StandardOutputLogTests.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottles.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottles.java
@@ -61,7 +61,7 @@
 	/**
 	 * Records the end of a request that was let through.
 	 * @param route route of the request
-	 * @param succeeded whether it did not fail for lack of capacity
+	 * @param end how it ended
 	 * @param now current time in nanoseconds
 	 */
 	public void ended(MeshRoute route, RequestEnd end, long now) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/DecisionLog.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/DecisionLog.java
@@ -17,13 +17,24 @@
 
 	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
+	/** Fractions are logged in hundredths. */
+	private static final double FRACTION = 100;
+
+	/** Characters of a usual line. */
+	private static final int LINE_CHARACTERS = 200;
+
 	private long windowStart = System.nanoTime();
 
 	private int lines;
 
 	private long suppressed;
 
-	void log(String format, Object... arguments) {
+	/**
+	 * Logs one decision.
+	 * @param event name of the decision
+	 * @param fields names and values in turn
+	 */
+	void log(String event, Object... fields) {
 		long now = System.nanoTime();
 		if (now - this.windowStart >= SECOND) {
 			if (this.suppressed > 0) {
@@ -38,7 +49,30 @@
 			return;
 		}
 		this.lines++;
-		logger.infof(format, arguments);
+		logger.info(line(event, fields));
+	}
+
+	// A formatter would take most of the time of a refusal.
+	private static String line(String event, Object... fields) {
+		StringBuilder line = new StringBuilder(LINE_CHARACTERS).append("event=").append(event);
+		for (int i = 0; i + 1 < fields.length; i += 2) {
+			line.append(' ').append(fields[i]).append('=');
+			String value = text(fields[i + 1]);
+			if (value.indexOf(' ') >= 0) {
+				line.append('"').append(value).append('"');
+			}
+			else {
+				line.append(value);
+			}
+		}
+		return line.toString();
+	}
+
+	private static String text(Object value) {
+		if (value instanceof Double number) {
+			return Double.toString(Math.round(number * FRACTION) / FRACTION);
+		}
+		return String.valueOf(value);
 	}
 
 }
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -210,9 +210,8 @@
 			String host = request.headers().get(HttpHeaderNames.HOST, "");
 			Optional<MeshRoute> match = current.match(host, EntryRequestReader.path(request.uri()));
 			if (match.isEmpty()) {
-				EntryRouter.this.decisions.log(
-						"event=request-not-found request=%s host=%s target=%s configuration=%08x", this.requestId, host,
-						request.uri(), current.version());
+				EntryRouter.this.decisions.log("request-not-found", "request", this.requestId, "host", host, "target",
+						request.uri(), "configuration", Long.toHexString(current.version()));
 				answer(EntryAnswer.own(HttpResponseStatus.NOT_FOUND.code()), "not-found");
 				return;
 			}
@@ -239,7 +238,7 @@
 				chosen = choose(now);
 			}
 			if (chosen == null) {
-				refuse("no-server sends=" + this.sends);
+				refuse("no-server");
 				return;
 			}
 			this.member = chosen;
@@ -302,8 +301,8 @@
 		}
 
 		private void repeat(String reason) {
-			EntryRouter.this.decisions.log("event=request-repeated request=%s route=%s node=%s reason=%s",
-					this.requestId, this.route.name(), this.member.member().node(), reason);
+			EntryRouter.this.decisions.log("request-repeated", "request", this.requestId, "route", this.route.name(),
+					"node", this.member.member().node(), "reason", reason);
 			attempt();
 		}
 
@@ -334,10 +333,9 @@
 				repeat(failed.reason());
 				return;
 			}
-			EntryRouter.this.decisions.log(
-					"event=request-failed request=%s route=%s node=%s instance=%s idempotent=%s reason=\"%s\"",
-					this.requestId, this.route.name(), this.member.member().node(), this.member.member().instance(),
-					this.route.idempotent(), failed.reason());
+			EntryRouter.this.decisions.log("request-failed", "request", this.requestId, "route", this.route.name(),
+					"node", this.member.member().node(), "instance", this.member.member().instance(), "idempotent",
+					this.route.idempotent(), "reason", failed.reason());
 			if (this.failure != null) {
 				deliver(this.failure);
 				return;
@@ -347,8 +345,9 @@
 		}
 
 		private void refuse(String reason) {
-			EntryRouter.this.decisions.log("event=request-refused request=%s route=%s service=%s sends=%d reason=%s",
-					this.requestId, (this.route != null) ? this.route.name() : "", this.service, this.sends, reason);
+			EntryRouter.this.decisions.log("request-refused", "request", this.requestId, "route",
+					(this.route != null) ? this.route.name() : "", "service", this.service, "sends", this.sends,
+					"share", (this.route != null) ? EntryRouter.this.throttles.share(this.route) : 1, "reason", reason);
 			if (this.failure != null) {
 				deliver(this.failure);
 				return;
@@ -363,6 +362,7 @@
 			}
 			answer(EntryAnswer.own(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), retryAfter()), "refused");
 		}
+
 		private RequestEnd refusedEnd() {
 			if (this.offers > 0) {
 				return RequestEnd.WASTED;
@@ -370,7 +370,6 @@
 			return this.shed ? RequestEnd.SHED : RequestEnd.REFUSED;
 		}
 
-
 		private HeaderBlock retryAfter() {
 			double seconds = EntryRouter.this.returnTimes.next(this.route).toNanos() / NANOSECONDS_PER_SECOND;
 			return HeaderBlock.of(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", seconds));
@@ -380,8 +379,8 @@
 			if (this.ended) {
 				return;
 			}
-			EntryRouter.this.decisions.log("event=request-timeout request=%s route=%s node=%s sends=%d elapsed_ms=%d",
-					this.requestId, this.route.name(), this.member.member().node(), this.sends,
+			EntryRouter.this.decisions.log("request-timeout", "request", this.requestId, "route", this.route.name(),
+					"node", this.member.member().node(), "sends", this.sends, "elapsed_ms",
 					TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.start));
 			CallHandle open = this.handle;
 			recordCapacity(RequestEnd.WASTED);
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshMetrics.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshMetrics.java
@@ -28,10 +28,11 @@
 		.classicUpperBounds(LATENCY_BUCKETS)
 		.register(this.registry);
 
-	private final Map<String, DistributionDataPoint> points = new HashMap<>();
+	private final Map<String, Map<String, DistributionDataPoint>> points = new HashMap<>();
 
 	void request(String route, String outcome, long nanoseconds) {
-		this.points.computeIfAbsent(route + ' ' + outcome, (key) -> this.requests.labelValues(route, outcome))
+		this.points.computeIfAbsent(route, (key) -> new HashMap<>())
+			.computeIfAbsent(outcome, (key) -> this.requests.labelValues(route, outcome))
 			.observe(nanoseconds / 1e9);
 	}
 
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/StandardOutputLog.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/StandardOutputLog.java
@@ -29,6 +29,8 @@
 
 	private final AtomicLong lost = new AtomicLong();
 
+	private final Timestamps timestamps = new Timestamps();
+
 	private final PrintStream output;
 
 	private StandardOutputLog(PrintStream output) {
@@ -56,7 +58,7 @@
 		if (!isLoggable(record)) {
 			return;
 		}
-		String line = Instant.ofEpochMilli(record.getMillis()) + " level=" + record.getLevel() + " logger="
+		String line = this.timestamps.of(record.getMillis()) + " level=" + record.getLevel() + " logger="
 				+ simpleName(record.getLoggerName()) + " " + record.getMessage()
 				+ ((record.getThrown() != null) ? " exception=\"" + record.getThrown() + "\"" : "");
 		if (!this.lines.offer(line)) {
@@ -100,4 +102,31 @@
 		flush();
 	}
 
+	/**
+	 * Formats times. The part up to the second is kept, since lines come in numbers.
+	 */
+	static final class Timestamps {
+
+		private static final long MILLISECONDS = 1000;
+
+		private volatile Second last = new Second(-1, "");
+
+		String of(long milliseconds) {
+			long second = Math.floorDiv(milliseconds, MILLISECONDS);
+			Second known = this.last;
+			if (known.second != second) {
+				String text = Instant.ofEpochSecond(second).toString();
+				known = new Second(second, text.substring(0, text.length() - 1));
+				this.last = known;
+			}
+			long fraction = Math.floorMod(milliseconds, MILLISECONDS);
+			return known.text + ((fraction < 10) ? ".00" : (fraction < 100) ? ".0" : ".") + fraction + "Z";
+		}
+
+		private record Second(long second, String text) {
+
+		}
+
+	}
+
 }
--- /dev/null
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/StandardOutputLogTests.java
@@ -0,0 +1,21 @@
+package org.wasabicart.mesh;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against lines with the time of another line.
+ */
+class StandardOutputLogTests {
+
+	@Test
+	void timesAreThoseOfTheirLines() {
+		StandardOutputLog.Timestamps timestamps = new StandardOutputLog.Timestamps();
+		assertThat(timestamps.of(1_769_032_061_007L)).isEqualTo("2026-01-21T21:47:41.007Z");
+		assertThat(timestamps.of(1_769_032_061_070L)).isEqualTo("2026-01-21T21:47:41.070Z");
+		assertThat(timestamps.of(1_769_032_062_700L)).isEqualTo("2026-01-21T21:47:42.700Z");
+		assertThat(timestamps.of(1_769_032_061_000L)).isEqualTo("2026-01-21T21:47:41.000Z");
+	}
+
+}
