Move the limits of the entry into a class of their own

EntryRouter was to hold what happens to one request, and had grown to 440 lines with throttles, repeats and return times.

--- /dev/null
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryLimits.java
@@ -0,0 +1,128 @@
+package org.wasabicart.mesh;
+
+import java.math.BigDecimal;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+
+import org.wasabicart.core.mesh.EntryThrottles;
+import org.wasabicart.core.mesh.MeshRoute;
+import org.wasabicart.core.mesh.RepeatBudget;
+import org.wasabicart.core.mesh.RequestEnd;
+import org.wasabicart.core.mesh.ReturnTimes;
+import org.wasabicart.core.model.ServiceName;
+
+/**
+ * Limits that an entry sets on new work: which requests it lets through, how many it
+ * repeats, and when refused callers should return.
+ */
+final class EntryLimits {
+
+	/**
+	 * Part of the allowed repeats that one request may cause at one service: a request
+	 * that runs again makes its calls again, so the repeats of each depth add up at the
+	 * deepest service.
+	 */
+	private static final double REPEAT_SHARE = 0.25;
+
+	/** Digits of a second in a time to return. */
+	private static final int MILLISECOND_DIGITS = 3;
+
+	private final RepeatSettings repeatSettings;
+
+	private final EntryThrottles throttles;
+
+	private final ReturnTimes returnTimes;
+
+	private final Map<ServiceName, RepeatBudget> budgets = new HashMap<>();
+
+	private final Set<String> nestedRoutes = new HashSet<>();
+
+	EntryLimits(RepeatSettings repeatSettings, RandomGenerator random) {
+		this.repeatSettings = Objects.requireNonNull(repeatSettings, "repeatSettings");
+		this.throttles = new EntryThrottles(random);
+		this.returnTimes = new ReturnTimes(random);
+	}
+
+	/**
+	 * Forgets routes that are no longer configured.
+	 * @param routes names of the routes that are
+	 */
+	void retain(Collection<String> routes) {
+		this.throttles.retain(routes);
+		this.nestedRoutes.retainAll(routes);
+	}
+
+	/**
+	 * A node told whether a route is called by servers.
+	 * @param route name of the route
+	 * @param nested whether it is
+	 */
+	void nested(String route, boolean nested) {
+		if (nested) {
+			this.nestedRoutes.add(route);
+		}
+		else {
+			this.nestedRoutes.remove(route);
+		}
+	}
+
+	/**
+	 * Decides on a new request. Calls of running requests are let through: refusing one
+	 * wastes its whole request.
+	 * @param route route of the request
+	 * @param now current time in nanoseconds
+	 * @return whether the request is let through
+	 */
+	boolean admit(MeshRoute route, long now) {
+		return this.nestedRoutes.contains(route.name()) || this.throttles.admit(route, now);
+	}
+
+	/**
+	 * Records the end of a request that was let through.
+	 * @param route route of the request
+	 * @param end how it ended
+	 * @param now current time in nanoseconds
+	 */
+	void ended(MeshRoute route, RequestEnd end, long now) {
+		if (!this.nestedRoutes.contains(route.name())) {
+			this.throttles.ended(route, end, now);
+		}
+	}
+
+	/**
+	 * Returns the share of a route's new requests that is let through.
+	 * @param route route
+	 * @return the share, above 0 and at most 1
+	 */
+	double share(MeshRoute route) {
+		return this.throttles.share(route);
+	}
+
+	/**
+	 * Returns the repeats that this node may cause at a service.
+	 * @param service service
+	 * @return the budget
+	 */
+	RepeatBudget repeats(ServiceName service) {
+		return this.budgets.computeIfAbsent(service,
+				(name) -> new RepeatBudget(this.repeatSettings.ratio() * REPEAT_SHARE, 1));
+	}
+
+	/**
+	 * Returns when a refused caller should return.
+	 * @param route route of the request, or null if it is not known
+	 * @return the header field
+	 */
+	HeaderBlock retryAfter(MeshRoute route) {
+		BigDecimal seconds = BigDecimal.valueOf(this.returnTimes.next(route).toMillis(), MILLISECOND_DIGITS);
+		return HeaderBlock.of(HttpHeaderNames.RETRY_AFTER, seconds.toPlainString());
+	}
+
+}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -4,14 +4,12 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -20,14 +18,11 @@
 import io.netty.util.concurrent.Future;
 import org.jboss.logging.Logger;
 
-import org.wasabicart.core.mesh.EntryThrottles;
 import org.wasabicart.core.mesh.GateRefusal;
 import org.wasabicart.core.mesh.MemberStatus;
 import org.wasabicart.core.mesh.MeshConfiguration;
 import org.wasabicart.core.mesh.MeshRoute;
-import org.wasabicart.core.mesh.RepeatBudget;
 import org.wasabicart.core.mesh.RequestEnd;
-import org.wasabicart.core.mesh.ReturnTimes;
 import org.wasabicart.core.mesh.SplitRotation;
 import org.wasabicart.core.model.NodeId;
 import org.wasabicart.core.model.ServiceName;
@@ -57,24 +52,13 @@
 	 */
 	private static final int MAXIMUM_OVERLOADS = 2;
 
-	/**
-	 * Part of the allowed repeats that one request may cause at one service: a request
-	 * that runs again makes its calls again, so the repeats of each depth add up at the
-	 * deepest service.
-	 */
-	private static final double REPEAT_SHARE = 0.25;
-
-	private static final double NANOSECONDS_PER_SECOND = 1e9;
-
-	private final MeshSettings settings;
-
 	private final EntryRequestReader reader;
 
 	private final EventLoop eventLoop;
 
 	private final Destinations destinations;
 
-	private final ReturnTimes returnTimes;
+	private final EntryLimits limits;
 
 	private final MeshMetrics metrics;
 
@@ -82,24 +66,16 @@
 
 	private final Map<String, SplitRotation> rotations = new HashMap<>();
 
-	private final Map<ServiceName, RepeatBudget> budgets = new HashMap<>();
-
-	private final EntryThrottles throttles;
-
-	private final Set<String> nestedRoutes = new HashSet<>();
-
 	private MeshConfiguration configuration;
 
 	private int active;
 
-	EntryRouter(MeshSettings settings, EntryRequestReader reader, EventLoop eventLoop, Destinations destinations,
-			RandomGenerator random, MeshMetrics metrics, DecisionLog decisions) {
-		this.settings = Objects.requireNonNull(settings, "settings");
+	EntryRouter(EntryRequestReader reader, EventLoop eventLoop, Destinations destinations, EntryLimits limits,
+			MeshMetrics metrics, DecisionLog decisions) {
 		this.reader = Objects.requireNonNull(reader, "reader");
 		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
 		this.destinations = Objects.requireNonNull(destinations, "destinations");
-		this.returnTimes = new ReturnTimes(random);
-		this.throttles = new EntryThrottles(random);
+		this.limits = Objects.requireNonNull(limits, "limits");
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		this.decisions = Objects.requireNonNull(decisions, "decisions");
 	}
@@ -117,8 +93,7 @@
 		this.configuration = candidate;
 		List<String> routes = candidate.routes().stream().map(MeshRoute::name).toList();
 		this.rotations.keySet().retainAll(routes);
-		this.throttles.retain(routes);
-		this.nestedRoutes.retainAll(routes);
+		this.limits.retain(routes);
 		return true;
 	}
 
@@ -137,25 +112,6 @@
 		return exchange::cancel;
 	}
 
-	/**
-	 * A node told whether a route is called by servers.
-	 * @param route name of the route
-	 * @param nested whether it is
-	 */
-	void nested(String route, boolean nested) {
-		if (nested) {
-			this.nestedRoutes.add(route);
-		}
-		else {
-			this.nestedRoutes.remove(route);
-		}
-	}
-
-	private RepeatBudget budget(ServiceName service) {
-		return this.budgets.computeIfAbsent(service,
-				(name) -> new RepeatBudget(this.settings.repeats().ratio() * REPEAT_SHARE, 1));
-	}
-
 	/**
 	 * One request of a caller.
 	 */
@@ -218,14 +174,13 @@
 			this.route = match.get();
 			this.service = EntryRouter.this.rotations.computeIfAbsent(this.route.name(), (name) -> new SplitRotation())
 				.next(this.route.shares());
-			boolean nested = EntryRouter.this.nestedRoutes.contains(this.route.name());
-			if (!nested && !EntryRouter.this.throttles.admit(this.route, this.start)) {
+			if (!EntryRouter.this.limits.admit(this.route, this.start)) {
 				refuse("throttled");
 				return;
 			}
-			this.counted = !nested;
+			this.counted = true;
 			this.call = EntryRouter.this.reader.call(request, this.route, this.start);
-			budget(this.service).earn();
+			EntryRouter.this.limits.repeats(this.service).earn();
 			long left = this.call.deadline() - System.nanoTime();
 			this.timer = EntryRouter.this.eventLoop.schedule(this::timeout, left, TimeUnit.NANOSECONDS);
 			attempt();
@@ -291,13 +246,13 @@
 
 		private void recordCapacity(RequestEnd end) {
 			if (this.counted) {
-				EntryRouter.this.throttles.ended(this.route, end, System.nanoTime());
+				EntryRouter.this.limits.ended(this.route, end, System.nanoTime());
 			}
 		}
 
 		private boolean mayRepeat() {
 			return this.route.idempotent() && this.offers + 1 < this.route.maximumAttempts()
-					&& choose(System.nanoTime()) != null && budget(this.service).spend();
+					&& choose(System.nanoTime()) != null && EntryRouter.this.limits.repeats(this.service).spend();
 		}
 
 		private void repeat(String reason) {
@@ -319,7 +274,8 @@
 				default -> {
 				}
 			}
-			if (refused.reason() == GateRefusal.EXPIRED || refused.offered() && !budget(this.service).spend()) {
+			if (refused.reason() == GateRefusal.EXPIRED
+					|| refused.offered() && !EntryRouter.this.limits.repeats(this.service).spend()) {
 				refuse(refused.reason().name());
 				return;
 			}
@@ -347,7 +303,7 @@
 		private void refuse(String reason) {
 			EntryRouter.this.decisions.log("request-refused", "request", this.requestId, "route",
 					(this.route != null) ? this.route.name() : "", "service", this.service, "sends", this.sends,
-					"share", (this.route != null) ? EntryRouter.this.throttles.share(this.route) : 1, "reason", reason);
+					"share", (this.route != null) ? EntryRouter.this.limits.share(this.route) : 1, "reason", reason);
 			if (this.failure != null) {
 				deliver(this.failure);
 				return;
@@ -360,7 +316,8 @@
 				answer(EntryAnswer.own(HttpResponseStatus.BAD_GATEWAY.code()), "failed");
 				return;
 			}
-			answer(EntryAnswer.own(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), retryAfter()), "refused");
+			answer(EntryAnswer.own(HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+					EntryRouter.this.limits.retryAfter(this.route)), "refused");
 		}
 
 		private RequestEnd refusedEnd() {
@@ -370,11 +327,6 @@
 			return this.shed ? RequestEnd.SHED : RequestEnd.REFUSED;
 		}
 
-		private HeaderBlock retryAfter() {
-			double seconds = EntryRouter.this.returnTimes.next(this.route).toNanos() / NANOSECONDS_PER_SECOND;
-			return HeaderBlock.of(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", seconds));
-		}
-
 		private void timeout() {
 			if (this.ended) {
 				return;
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -83,6 +83,8 @@
 
 	private final Destinations destinations;
 
+	private final EntryLimits limits;
+
 	private final EntryRouter router;
 
 	private final MemberEntryKeeper entryKeeper;
@@ -127,8 +129,9 @@
 				new PeerEnvironment(eventLoop, this::ownPing, this::pinged, this::nested));
 		this.destinations = new Destinations(this.peers, this.localBackend,
 				new Placement(settings.failureDomain(), settings.region(), random));
-		this.router = new EntryRouter(settings, new EntryRequestReader(names, settings.service().value()), eventLoop,
-				this.destinations, random, metrics, new DecisionLog());
+		this.limits = new EntryLimits(settings.repeats(), random);
+		this.router = new EntryRouter(new EntryRequestReader(names, settings.service().value()), eventLoop,
+				this.destinations, this.limits, metrics, new DecisionLog());
 		this.entryKeeper = new MemberEntryKeeper(store, eventLoop, layout.memberPrefix() + settings.nodeId());
 		this.memberWatch = new PrefixWatch(store, eventLoop, layout.memberPrefix(), MEMBER_BATCH, this::allMembers,
 				this::changedMembers);
@@ -215,7 +218,7 @@
 	}
 
 	private void nested(String route, boolean nested) {
-		this.router.nested(route, nested);
+		this.limits.nested(route, nested);
 	}
 
 	private void localChanged() {
