--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
@@ -1,8 +1,6 @@
 package org.wasabicart.mesh;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -51,9 +49,8 @@
 			TestBackend backend = new TestBackend(this.eventLoop, new InetSocketAddress(HOST, 0), "i-" + i, bodyBytes);
 			this.backends.add(backend);
 			settings.add(new MeshSettings(new NodeId("n" + i), new FailureDomain("d"), new RegionName("r"),
-					new ServiceName(services.get(i)), backend.address(), new InetSocketAddress(HOST, freePort()),
-					new InetSocketAddress(HOST, freePort()), Duration.ofMillis(500), Duration.ofSeconds(6),
-					new RepeatSettings(0.2)));
+					new ServiceName(services.get(i)), backend.address(), LoopbackAddresses.free(),
+					LoopbackAddresses.free(), Duration.ofMillis(500), Duration.ofSeconds(6), new RepeatSettings(0.2)));
 		}
 		for (int i = 0; i < services.size(); i++) {
 			MeshSettings own = settings.get(i);
@@ -96,12 +93,6 @@
 		return new MeshConfiguration(1, routes, List.of(), CallerLimits.DEFAULT);
 	}
 
-	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
-		}
-	}
-
 	<T> T onEventLoop(java.util.concurrent.Callable<T> task) throws Exception {
 		return this.eventLoop.submit(task).sync().getNow();
 	}
