Keep what is known of a route's callers when a node starts

Cause: a node told with each answer whether the route is called by servers, and "no" while it knew too few calls.

Change: the answer says unknown, outside or nested; unknown changes nothing.

Tests: EntryLimitsTests; nodeThatHasJustStartedDoesNotChangeWhatIsKnown fails with the earlier meaning.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/CallOrigins.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/CallOrigins.java
@@ -50,22 +50,22 @@
 	}
 
 	/**
-	 * Returns whether a route is called by servers.
+	 * Returns who calls a route.
 	 * @param route name of the route
 	 * @param knownServices number of services beside whose servers callers may be
-	 * @return whether it is; false while too few calls are known
+	 * @return the origin
 	 */
-	public boolean nested(String route, int knownServices) {
+	public CallOrigin origin(String route, int knownServices) {
 		Map<String, Integer> counts = this.routes.get(route);
 		if (counts == null) {
-			return false;
+			return CallOrigin.UNKNOWN;
 		}
 		int total = counts.values().stream().mapToInt(Integer::intValue).sum();
 		if (total < MINIMUM_CALLS) {
-			return false;
+			return CallOrigin.UNKNOWN;
 		}
 		long origins = counts.values().stream().filter((count) -> count > ORIGIN_SHARE * total).count();
-		return 2 * origins <= Math.max(this.services.size(), knownServices);
+		return (2 * origins <= Math.max(this.services.size(), knownServices)) ? CallOrigin.NESTED : CallOrigin.OUTSIDE;
 	}
 
 }
--- a/wasabicart-core/src/test/java/org/wasabicart/core/mesh/CallOriginsTests.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/mesh/CallOriginsTests.java
@@ -21,8 +21,8 @@
 			this.origins.observe("outer", SERVICES.get(i % SERVICES.size()));
 			this.origins.observe("inner", "b");
 		}
-		assertThat(this.origins.nested("outer", 4)).isFalse();
-		assertThat(this.origins.nested("inner", 4)).isTrue();
+		assertThat(this.origins.origin("outer", 4)).isEqualTo(CallOrigin.OUTSIDE);
+		assertThat(this.origins.origin("inner", 4)).isEqualTo(CallOrigin.NESTED);
 	}
 
 	@Test
@@ -30,7 +30,7 @@
 		for (int i = 0; i < CallOrigins.MINIMUM_CALLS - 1; i++) {
 			this.origins.observe("inner", "b");
 		}
-		assertThat(this.origins.nested("inner", 4)).isFalse();
+		assertThat(this.origins.origin("inner", 4)).isEqualTo(CallOrigin.UNKNOWN);
 	}
 
 	@Test
@@ -38,7 +38,7 @@
 		for (int i = 0; i < 100; i++) {
 			this.origins.observe("outer", "a");
 		}
-		assertThat(this.origins.nested("outer", 1)).isFalse();
+		assertThat(this.origins.origin("outer", 1)).isEqualTo(CallOrigin.OUTSIDE);
 	}
 
 }
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallMessages.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallMessages.java
@@ -4,11 +4,13 @@
 
 import com.google.protobuf.UnsafeByteOperations;
 
+import org.wasabicart.core.mesh.CallOrigin;
 import org.wasabicart.core.mesh.GateRefusal;
 import org.wasabicart.core.mesh.MemberLoadReport;
 import org.wasabicart.wire.generated.mesh.MeshCall;
 import org.wasabicart.wire.generated.mesh.MeshFrame;
 import org.wasabicart.wire.generated.mesh.MeshLoad;
+import org.wasabicart.wire.generated.mesh.MeshOrigin;
 import org.wasabicart.wire.generated.mesh.MeshReply;
 import org.wasabicart.wire.generated.mesh.MeshResult;
 
@@ -52,8 +54,8 @@
 				now + TimeUnit.MILLISECONDS.toNanos(message.getPatienceMilliseconds()), message.getRoute());
 	}
 
-	static MeshFrame toFrame(CallResult result, long stream, MemberLoadReport load, boolean nested) {
-		MeshReply.Builder reply = MeshReply.newBuilder().setStream(stream).setNested(nested);
+	static MeshFrame toFrame(CallResult result, long stream, MemberLoadReport load, CallOrigin origin) {
+		MeshReply.Builder reply = MeshReply.newBuilder().setStream(stream).setOrigin(toMessage(origin));
 		if (result instanceof CallResult.Answered answered) {
 			reply.setResult(MeshResult.ANSWERED)
 				.setStatus(answered.status())
@@ -73,6 +75,22 @@
 		return MeshFrame.newBuilder().setReply(reply).build();
 	}
 
+	private static MeshOrigin toMessage(CallOrigin origin) {
+		return switch (origin) {
+			case OUTSIDE -> MeshOrigin.OUTSIDE;
+			case NESTED -> MeshOrigin.NESTED;
+			case UNKNOWN -> MeshOrigin.MESH_ORIGIN_UNKNOWN;
+		};
+	}
+
+	static CallOrigin toOrigin(MeshOrigin origin) {
+		return switch (origin) {
+			case OUTSIDE -> CallOrigin.OUTSIDE;
+			case NESTED -> CallOrigin.NESTED;
+			default -> CallOrigin.UNKNOWN;
+		};
+	}
+
 	static CallResult toResult(MeshReply reply) {
 		return switch (reply.getResult()) {
 			case ANSWERED -> new CallResult.Answered(reply.getStatus(), HeaderBlock.of(reply.getHeaders()),
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ClientLink.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ClientLink.java
@@ -13,6 +13,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import org.jboss.logging.Logger;
 
+import org.wasabicart.core.mesh.CallOrigin;
 import org.wasabicart.core.mesh.MemberLoadReport;
 import org.wasabicart.wire.generated.mesh.MeshCancel;
 import org.wasabicart.wire.generated.mesh.MeshFrame;
@@ -157,7 +158,7 @@
 		}
 		Stream stream = this.streams.remove(reply.getStream());
 		if (stream != null) {
-			this.listener.nested(stream.route(), reply.getNested());
+			this.listener.origin(stream.route(), CallMessages.toOrigin(reply.getOrigin()));
 			stream.listener.ended(CallMessages.toResult(reply));
 		}
 		if (this.closing && this.streams.isEmpty()) {
@@ -196,11 +197,11 @@
 		void load(MemberLoadReport load);
 
 		/**
-		 * Whether a route is called by servers.
+		 * Who calls a route.
 		 * @param route name of the route
-		 * @param nested whether it is
+		 * @param origin origin of its calls
 		 */
-		void nested(String route, boolean nested);
+		void origin(String route, CallOrigin origin);
 
 		/**
 		 * The other node told its state.
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryLimits.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryLimits.java
@@ -11,6 +11,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 
+import org.wasabicart.core.mesh.CallOrigin;
 import org.wasabicart.core.mesh.EntryThrottles;
 import org.wasabicart.core.mesh.MeshRoute;
 import org.wasabicart.core.mesh.RepeatBudget;
@@ -60,15 +61,16 @@
 	}
 
 	/**
-	 * A node told whether a route is called by servers.
+	 * A node told who calls a route. A node that has just started does not know, which
+	 * leaves what others told.
 	 * @param route name of the route
-	 * @param nested whether it is
+	 * @param origin origin of its calls
 	 */
-	void nested(String route, boolean nested) {
-		if (nested) {
+	void origin(String route, CallOrigin origin) {
+		if (origin == CallOrigin.NESTED) {
 			this.nestedRoutes.add(route);
 		}
-		else {
+		else if (origin == CallOrigin.OUTSIDE) {
 			this.nestedRoutes.remove(route);
 		}
 	}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import org.jboss.logging.Logger;
 
+import org.wasabicart.core.mesh.CallOrigin;
 import org.wasabicart.core.mesh.CallOrigins;
 import org.wasabicart.core.mesh.GateEntry;
 import org.wasabicart.core.mesh.GateRefusal;
@@ -201,12 +202,12 @@
 	}
 
 	/**
-	 * Returns whether a route of the server is called by servers.
+	 * Returns who calls a route of the server.
 	 * @param route name of the route
-	 * @return whether it is
+	 * @return the origin of its calls
 	 */
-	boolean nested(String route) {
-		return this.origins.nested(route, this.knownServices.getAsInt());
+	CallOrigin origin(String route) {
+		return this.origins.origin(route, this.knownServices.getAsInt());
 	}
 
 	/**
@@ -217,7 +218,7 @@
 	 */
 	CallHandle handle(Call call, CallListener listener) {
 		this.origins.observe(call.route(), call.callerService());
-		Running entry = new Running(call, nested(call.route()), listener);
+		Running entry = new Running(call, origin(call.route()) == CallOrigin.NESTED, listener);
 		GateRefusal refusal = refusal(call);
 		if (refusal != null) {
 			entry.end(new CallResult.Refused(refusal, false));
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.jboss.logging.Logger;
 
+import org.wasabicart.core.mesh.CallOrigin;
 import org.wasabicart.core.mesh.CallerLimits;
 import org.wasabicart.core.mesh.MeshConfiguration;
 import org.wasabicart.core.mesh.MeshMember;
@@ -126,7 +127,7 @@
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		this.localBackend = new LocalBackend(settings, names, eventLoop, this::localChanged, this::knownServices);
 		this.peers = new Peers(settings.nodeId(),
-				new PeerEnvironment(eventLoop, this::ownPing, this::pinged, this::nested));
+				new PeerEnvironment(eventLoop, this::ownPing, this::pinged, this::origin));
 		this.destinations = new Destinations(this.peers, this.localBackend,
 				new Placement(settings.failureDomain(), settings.region(), random));
 		this.limits = new EntryLimits(settings.repeats(), random);
@@ -217,8 +218,8 @@
 		return this.peers.services();
 	}
 
-	private void nested(String route, boolean nested) {
-		this.limits.nested(route, nested);
+	private void origin(String route, CallOrigin origin) {
+		this.limits.origin(route, origin);
 	}
 
 	private void localChanged() {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInitializer;
 import org.jboss.logging.Logger;
 
+import org.wasabicart.core.mesh.CallOrigin;
 import org.wasabicart.core.mesh.MemberLoadReport;
 import org.wasabicart.core.mesh.MemberStatus;
 import org.wasabicart.core.mesh.MeshMember;
@@ -139,8 +140,8 @@
 	}
 
 	@Override
-	public void nested(String route, boolean nested) {
-		this.environment.nestedListener().nested(route, nested);
+	public void origin(String route, CallOrigin origin) {
+		this.environment.originListener().origin(route, origin);
 	}
 
 	@Override
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/PeerEnvironment.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/PeerEnvironment.java
@@ -6,6 +6,7 @@
 
 import io.netty.channel.EventLoop;
 
+import org.wasabicart.core.mesh.CallOrigin;
 import org.wasabicart.wire.generated.mesh.MeshPing;
 
 /**
@@ -14,30 +15,30 @@
  * @param eventLoop event loop of the links
  * @param ownPing provides this node's state for a ping
  * @param pingListener receives the state of other nodes
- * @param nestedListener receives which routes are called by servers
+ * @param originListener receives who calls which route
  */
 record PeerEnvironment(EventLoop eventLoop, Supplier<MeshPing> ownPing, Consumer<MeshPing> pingListener,
-		NestedListener nestedListener) {
+		OriginListener originListener) {
 
 	PeerEnvironment {
 		Objects.requireNonNull(eventLoop, "eventLoop");
 		Objects.requireNonNull(ownPing, "ownPing");
 		Objects.requireNonNull(pingListener, "pingListener");
-		Objects.requireNonNull(nestedListener, "nestedListener");
+		Objects.requireNonNull(originListener, "originListener");
 	}
 
 	/**
-	 * Receives whether a route is called by servers.
+	 * Receives who calls a route.
 	 */
 	@FunctionalInterface
-	interface NestedListener {
+	interface OriginListener {
 
 		/**
-		 * A node told whether a route is called by servers.
+		 * A node told who calls a route.
 		 * @param route name of the route
-		 * @param nested whether it is
+		 * @param origin origin of its calls
 		 */
-		void nested(String route, boolean nested);
+		void origin(String route, CallOrigin origin);
 
 	}
 
--- /dev/null
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/EntryLimitsTests.java
@@ -0,0 +1,65 @@
+package org.wasabicart.mesh;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+
+import org.wasabicart.core.mesh.CallOrigin;
+import org.wasabicart.core.mesh.MeshRoute;
+import org.wasabicart.core.mesh.RequestEnd;
+import org.wasabicart.core.mesh.ServiceShare;
+import org.wasabicart.core.model.ServiceName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against calls of running requests that are refused at the entry as if they were
+ * new requests.
+ */
+class EntryLimitsTests {
+
+	private static final MeshRoute ROUTE = new MeshRoute("lookup", "h", "/lookup/", true, 0, 1, Optional.empty(),
+			Optional.empty(), List.of(new ServiceShare(new ServiceName("s"), 1)));
+
+	private final EntryLimits limits = new EntryLimits(new RepeatSettings(0.2), new SplittableRandom(1));
+
+	private int admitted(int requests) {
+		int admitted = 0;
+		for (int i = 0; i < requests; i++) {
+			long now = i * 20_000_000L;
+			if (this.limits.admit(ROUTE, now)) {
+				admitted++;
+				this.limits.ended(ROUTE, RequestEnd.WASTED, now);
+			}
+		}
+		return admitted;
+	}
+
+	@Test
+	void newRequestsThatFailHalfWayAreCut() {
+		assertThat(admitted(1000)).isLessThan(500);
+	}
+
+	@Test
+	void callsOfRunningRequestsAreLetThrough() {
+		this.limits.origin("lookup", CallOrigin.NESTED);
+		assertThat(admitted(1000)).isEqualTo(1000);
+	}
+
+	@Test
+	void nodeThatHasJustStartedDoesNotChangeWhatIsKnown() {
+		this.limits.origin("lookup", CallOrigin.NESTED);
+		this.limits.origin("lookup", CallOrigin.UNKNOWN);
+		assertThat(admitted(1000)).isEqualTo(1000);
+	}
+
+	@Test
+	void routeThatIsCalledFromOutsideAgainIsLimitedAgain() {
+		this.limits.origin("lookup", CallOrigin.NESTED);
+		this.limits.origin("lookup", CallOrigin.OUTSIDE);
+		assertThat(admitted(1000)).isLessThan(500);
+	}
+
+}
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
@@ -9,6 +9,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import org.junit.jupiter.api.Test;
 
+import org.wasabicart.core.mesh.CallOrigin;
 import org.wasabicart.core.mesh.GateRefusal;
 import org.wasabicart.core.mesh.MemberLoadReport;
 import org.wasabicart.core.model.FailureDomain;
@@ -16,6 +17,7 @@
 import org.wasabicart.core.model.RegionName;
 import org.wasabicart.core.model.ServiceName;
 import org.wasabicart.wire.generated.mesh.MeshFrame;
+import org.wasabicart.wire.generated.mesh.MeshOrigin;
 import org.wasabicart.wire.generated.mesh.MeshPing;
 import org.wasabicart.wire.generated.mesh.MeshReply;
 import org.wasabicart.wire.generated.mesh.MeshResult;
@@ -30,7 +32,7 @@
 
 	private final List<String> events = new ArrayList<>();
 
-	private boolean nested;
+	private CallOrigin origin;
 
 	private final ClientLink link = new ClientLink(MeshPing::getDefaultInstance, new RecordingListener());
 
@@ -73,9 +75,13 @@
 		this.link.tick(now + TimeUnit.SECONDS.toNanos(2));
 		assertThat(this.events).containsExactly("silent", "lookup Failed");
 		this.channel.writeInbound(MeshFrame.newBuilder()
-			.setReply(MeshReply.newBuilder().setStream(1).setResult(MeshResult.ANSWERED).setStatus(200).setNested(true))
+			.setReply(MeshReply.newBuilder()
+				.setStream(1)
+				.setResult(MeshResult.ANSWERED)
+				.setStatus(200)
+				.setOrigin(MeshOrigin.NESTED))
 			.build());
-		assertThat(this.nested).isTrue();
+		assertThat(this.origin).isEqualTo(CallOrigin.NESTED);
 		assertThat(this.events).contains("order Answered", "answering");
 	}
 
@@ -100,8 +106,8 @@
 		}
 
 		@Override
-		public void nested(String route, boolean nested) {
-			LinkTests.this.nested = nested;
+		public void origin(String route, CallOrigin reported) {
+			LinkTests.this.origin = reported;
 		}
 
 		@Override
