End a stopping node before its grace does

A stopping node waited until no request was active, which does not happen while callers keep coming back, and its limit, 0.4 s before the end, left a busy process too little time to exit.

Change: from half of the grace on a stopping node refuses new requests as not run, so that none of them is cut, and it ends at five sixths.

Test: stoppingNodeRefusesLateRequestsAndEndsBeforeItsGrace, which failed before (requests were still answered at the end).

Conclusion: the cut of late requests is closed and tested; that a process is still there is not fully explained and stays listed.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -70,6 +70,8 @@
 
 	private int active;
 
+	private boolean refusing;
+
 	EntryRouter(EntryRequestReader reader, EventLoop eventLoop, Destinations destinations, EntryLimits limits,
 			MeshMetrics metrics, DecisionLog decisions) {
 		this.reader = Objects.requireNonNull(reader, "reader");
@@ -105,6 +107,13 @@
 		return this.active;
 	}
 
+	/**
+	 * Refuses all requests from now on, since the node ends soon.
+	 */
+	void refuseNew() {
+		this.refusing = true;
+	}
+
 	@Override
 	public CallHandle handle(FullHttpRequest request, SocketAddress caller, Consumer<EntryAnswer> listener) {
 		Exchange exchange = new Exchange(request, listener);
@@ -163,6 +172,10 @@
 				refuse("no-configuration");
 				return;
 			}
+			if (EntryRouter.this.refusing) {
+				refuse("stopping");
+				return;
+			}
 			String host = request.headers().get(HttpHeaderNames.HOST, "");
 			Optional<MeshRoute> match = current.match(host, EntryRequestReader.path(request.uri()));
 			if (match.isEmpty()) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -54,8 +54,15 @@
 	 */
 	private static final long STOP_MINIMUM = TimeUnit.MILLISECONDS.toNanos(2500);
 
-	/** Time before the end of the grace at which the process ends in any case. */
-	private static final long STOP_MARGIN = TimeUnit.MILLISECONDS.toNanos(400);
+	/**
+	 * Part of the grace after which the process ends in any case: ending takes a while.
+	 */
+	private static final double STOP_SHARE = 5 / 6.0;
+
+	/**
+	 * Part of the grace after which new requests are refused, so that they are not cut.
+	 */
+	private static final double STOP_REFUSE_SHARE = 0.5;
 
 	/** Largest body of a request that is held in memory; shares the VM's memory. */
 	private static final int MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
@@ -350,8 +357,7 @@
 			this.stopStart = System.nanoTime();
 			this.localBackend.stop();
 		}).awaitUninterruptibly();
-		long grace = this.settings.grace().toNanos() - STOP_MARGIN;
-		while (!this.eventLoop.submit(() -> stopped(grace)).awaitUninterruptibly().getNow()) {
+		while (!this.eventLoop.submit(this::stopped).awaitUninterruptibly().getNow()) {
 			try {
 				TimeUnit.MILLISECONDS.sleep(TICK_MILLISECONDS);
 			}
@@ -363,10 +369,14 @@
 		logger.infof("event=node-stopped node=%s", this.settings.nodeId());
 	}
 
-	private boolean stopped(long grace) {
+	private boolean stopped() {
 		long elapsed = System.nanoTime() - this.stopStart;
+		long grace = this.settings.grace().toNanos();
+		if (elapsed > grace * STOP_REFUSE_SHARE) {
+			this.router.refuseNew();
+		}
 		boolean idle = this.router.active() == 0 && this.localBackend.active() == 0;
-		return elapsed > grace || idle && elapsed > STOP_MINIMUM;
+		return elapsed > grace * STOP_SHARE || idle && elapsed > STOP_MINIMUM;
 	}
 
 }
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MeshNodeTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MeshNodeTests.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -171,6 +172,28 @@
 		assertThat(receive().status()).isEqualTo(200);
 	}
 
+	/**
+	 * Guards against a node that is killed at the end of its grace, and cuts requests,
+	 * because callers keep coming.
+	 */
+	@Test
+	void stoppingNodeRefusesLateRequestsAndEndsBeforeItsGrace() throws Exception {
+		long start = System.nanoTime();
+		Thread stop = new Thread(this.fleet.nodes.get(0)::close);
+		stop.start();
+		List<Integer> statuses = new ArrayList<>();
+		while (stop.isAlive()) {
+			this.socket.close();
+			this.socket = new Socket("127.0.0.1", this.fleet.entries.get(0).getPort());
+			this.input = new BufferedInputStream(this.socket.getInputStream());
+			send("GET", "/b/x", "s" + statuses.size());
+			statuses.add(receive().status());
+		}
+		assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(TestFleet.GRACE);
+		assertThat(statuses.get(0)).isEqualTo(200);
+		assertThat(statuses.get(statuses.size() - 1)).isEqualTo(503);
+	}
+
 	private record Answer(int status, List<String> headers, int bodyBytes) {
 
 	}
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
@@ -29,6 +29,8 @@
  */
 final class TestFleet implements AutoCloseable {
 
+	static final Duration GRACE = Duration.ofSeconds(3);
+
 	private static final String HOST = "127.0.0.1";
 
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -50,7 +52,7 @@
 			this.backends.add(backend);
 			settings.add(new MeshSettings(new NodeId("n" + i), new FailureDomain("d"), new RegionName("r"),
 					new ServiceName(services.get(i)), backend.address(), LoopbackAddresses.free(),
-					LoopbackAddresses.free(), Duration.ofMillis(500), Duration.ofSeconds(6), new RepeatSettings(0.2)));
+					LoopbackAddresses.free(), Duration.ofMillis(500), GRACE, new RepeatSettings(0.2)));
 		}
 		for (int i = 0; i < services.size(); i++) {
 			MeshSettings own = settings.get(i);
