Log how a node stops

A shutdown hook stopped the node, and the log manager has a hook of its own, which ends all logging at the same moment; lines that waited for their writer were lost as well. A SIGTERM before the hook was set ended the process at once.

A second signal does not start the grace again.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -353,9 +353,12 @@
 	public void close() {
 		logger.infof("event=node-stopping node=%s", this.settings.nodeId());
 		this.eventLoop.submit(() -> {
-			this.stopping = true;
-			this.stopStart = System.nanoTime();
-			this.localBackend.stop();
+			// A second request to stop does not start the grace again.
+			if (!this.stopping) {
+				this.stopping = true;
+				this.stopStart = System.nanoTime();
+				this.localBackend.stop();
+			}
 		}).awaitUninterruptibly();
 		while (!this.eventLoop.submit(this::stopped).awaitUninterruptibly().getNow()) {
 			try {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/StandardOutputLog.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/StandardOutputLog.java
@@ -41,8 +41,9 @@
 	 * Directs all logging of the process to an output.
 	 * @param output output
 	 * @param level lowest level that is logged
+	 * @return the handler, to be flushed before the process ends
 	 */
-	public static void install(PrintStream output, Level level) {
+	public static StandardOutputLog install(PrintStream output, Level level) {
 		LogManager.getLogManager().reset();
 		StandardOutputLog handler = new StandardOutputLog(output);
 		Logger root = Logger.getLogger("");
@@ -51,6 +52,7 @@
 		Thread writer = new Thread(handler::write, "log");
 		writer.setDaemon(true);
 		writer.start();
+		return handler;
 	}
 
 	@Override
@@ -73,16 +75,7 @@
 	private void write() {
 		try {
 			while (true) {
-				StringBuilder text = new StringBuilder(this.lines.take()).append('\n');
-				for (String line = this.lines.poll(); line != null; line = this.lines.poll()) {
-					text.append(line).append('\n');
-				}
-				long count = this.lost.getAndSet(0);
-				if (count > 0) {
-					text.append("event=log-lines-lost count=").append(count).append('\n');
-				}
-				this.output.print(text);
-				this.output.flush();
+				write(this.lines.take());
 				// Lines that come meanwhile wake nobody and are written together.
 				TimeUnit.MILLISECONDS.sleep(PAUSE_MILLISECONDS);
 			}
@@ -92,9 +85,22 @@
 		}
 	}
 
+	private synchronized void write(String first) {
+		StringBuilder text = new StringBuilder();
+		for (String line = first; line != null; line = this.lines.poll()) {
+			text.append(line).append('\n');
+		}
+		long count = this.lost.getAndSet(0);
+		if (count > 0) {
+			text.append("event=log-lines-lost count=").append(count).append('\n');
+		}
+		this.output.print(text);
+		this.output.flush();
+	}
+
 	@Override
 	public void flush() {
-		this.output.flush();
+		write(this.lines.poll());
 	}
 
 	@Override
