Share the way tests of the throttles play requests, and tighten two bounds

The same lines stood in three tests. The scenario with a shrunken bottleneck now also checks the stated limit on priorities, 5 in 100, and the cut route must keep 95 of 100 of the capacity, the stated goodput, in place of 90.

--- a/wasabicart-core/src/test/java/org/wasabicart/core/mesh/EntryThrottlesTests.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/mesh/EntryThrottlesTests.java
@@ -75,14 +75,9 @@
 		for (int i = 0; i < seconds * requestsPerSecond; i++) {
 			long now = (i + 1) * (1_000_000_000L / requestsPerSecond);
 			boolean outage = i < outageSeconds * requestsPerSecond;
-			if (this.throttles.admit(order, now)) {
-				this.throttles.ended(order, end(i % 3 != 0), now);
-			}
-			if (this.throttles.admit(elsewhere, now)) {
-				this.throttles.ended(elsewhere, end(!outage), now);
-				if (i >= (outageSeconds + recoverySeconds) * requestsPerSecond) {
-					this.served.merge("elsewhere", 1, Integer::sum);
-				}
+			request(order, end(i % 3 != 0), now);
+			if (request(elsewhere, end(!outage), now) && i >= (outageSeconds + recoverySeconds) * requestsPerSecond) {
+				this.served.merge("elsewhere", 1, Integer::sum);
 			}
 		}
 		int demand = (seconds - outageSeconds - recoverySeconds) * requestsPerSecond;
@@ -117,6 +112,9 @@
 		int demand = seconds * roundsPerSecond;
 		assertThat(this.served.get("order")).isGreaterThan(demand * 7 / 10);
 		assertThat(this.served.get("quote")).isGreaterThan(demand * 7 / 10);
+		// A kind may be served less often than a less urgent one by 5 in 100.
+		assertThat(this.served.get("order")).isGreaterThan(this.served.get("quote") - demand * 5 / 100);
+		assertThat(this.served.get("quote")).isGreaterThan(this.served.get("lookup") / 2 - demand * 5 / 100);
 	}
 
 	private double play(MeshRoute route, int calls, double free, long now) {
@@ -134,6 +132,14 @@
 		return succeeded ? RequestEnd.SERVED : RequestEnd.WASTED;
 	}
 
+	private boolean request(MeshRoute route, RequestEnd end, long now) {
+		boolean admitted = this.throttles.admit(route, now);
+		if (admitted) {
+			this.throttles.ended(route, end, now);
+		}
+		return admitted;
+	}
+
 	/**
 	 * Guards against a route that is refused at the entry although its own service has
 	 * room for most of its requests, because a route of a higher priority fails
@@ -148,13 +154,8 @@
 		int admitted = 0;
 		for (int i = 0; i < demand; i++) {
 			long now = (i + 1) * (1_000_000_000L / requestsPerSecond);
-			if (this.throttles.admit(order, now)) {
-				this.throttles.ended(order, end(i % 2 == 0), now);
-			}
-			if (this.throttles.admit(trace, now)) {
-				admitted++;
-				this.throttles.ended(trace, (i % 5 == 0) ? RequestEnd.REFUSED : RequestEnd.SERVED, now);
-			}
+			request(order, end(i % 2 == 0), now);
+			admitted += request(trace, (i % 5 == 0) ? RequestEnd.REFUSED : RequestEnd.SERVED, now) ? 1 : 0;
 		}
 		assertThat(admitted).isEqualTo(demand);
 	}
@@ -183,7 +184,7 @@
 			}
 		}
 		assertThat(admitted).isLessThan(seconds * requestsPerSecond / 2);
-		assertThat(this.served.get("quote")).isGreaterThan(seconds * capacityPerSecond * 9 / 10);
+		assertThat(this.served.get("quote")).isGreaterThan(seconds * capacityPerSecond * 95 / 100);
 	}
 
 	/**
@@ -198,10 +199,7 @@
 		int admitted = 0;
 		for (int i = 0; i < demand; i++) {
 			long now = (i + 1) * (1_000_000_000L / requestsPerSecond);
-			if (this.throttles.admit(quote, now)) {
-				admitted++;
-				this.throttles.ended(quote, (i % 20 < 11) ? RequestEnd.SHED : RequestEnd.SERVED, now);
-			}
+			admitted += request(quote, (i % 20 < 11) ? RequestEnd.SHED : RequestEnd.SERVED, now) ? 1 : 0;
 		}
 		assertThat(admitted).isEqualTo(demand);
 	}
