Pass no request on once a node has decided to end

Cause: a stopping node ended as soon as nothing was active after 2.5 s, and went on reading requests until the process was gone, so that one which came in between was passed on and cut.

Change: with the decision to end the node refuses new requests as not run.

Test: nodeThatHasStoppedPassesNoRequestOn, which failed before.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -375,11 +375,12 @@
 	private boolean stopped() {
 		long elapsed = System.nanoTime() - this.stopStart;
 		long grace = this.settings.grace().toNanos();
-		if (elapsed > grace * STOP_REFUSE_SHARE) {
+		boolean idle = this.router.active() == 0 && this.localBackend.active() == 0;
+		boolean ends = elapsed > grace * STOP_SHARE || idle && elapsed > STOP_MINIMUM;
+		if (ends || elapsed > grace * STOP_REFUSE_SHARE) {
 			this.router.refuseNew();
 		}
-		boolean idle = this.router.active() == 0 && this.localBackend.active() == 0;
-		return elapsed > grace * STOP_SHARE || idle && elapsed > STOP_MINIMUM;
+		return ends;
 	}
 
 }
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MeshNodeTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MeshNodeTests.java
@@ -172,6 +172,23 @@
 		assertThat(receive().status()).isEqualTo(200);
 	}
 
+	/**
+	 * Guards against a request that is passed on between the decision to end and the end
+	 * of the process, and is cut.
+	 */
+	@Test
+	void nodeThatHasStoppedPassesNoRequestOn() throws Exception {
+		try (TestFleet slow = new TestFleet(List.of("a", "b"), 10, Duration.ofSeconds(30))) {
+			slow.nodes.get(0).close();
+			this.socket.close();
+			this.socket = new Socket("127.0.0.1", slow.entries.get(0).getPort());
+			this.input = new BufferedInputStream(this.socket.getInputStream());
+			send("GET", "/b/x", "late");
+			assertThat(receive().status()).isEqualTo(503);
+			assertThat(slow.onEventLoop(() -> List.copyOf(slow.backends.get(1).requests))).isEmpty();
+		}
+	}
+
 	/**
 	 * Guards against a node that is killed at the end of its grace, and cuts requests,
 	 * because callers keep coming.
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
@@ -46,13 +46,17 @@
 	final List<InetSocketAddress> entries = new ArrayList<>();
 
 	TestFleet(List<String> services, int bodyBytes) throws Exception {
+		this(services, bodyBytes, GRACE);
+	}
+
+	TestFleet(List<String> services, int bodyBytes, Duration grace) throws Exception {
 		List<MeshSettings> settings = new ArrayList<>();
 		for (int i = 0; i < services.size(); i++) {
 			TestBackend backend = new TestBackend(this.eventLoop, new InetSocketAddress(HOST, 0), "i-" + i, bodyBytes);
 			this.backends.add(backend);
 			settings.add(new MeshSettings(new NodeId("n" + i), new FailureDomain("d"), new RegionName("r"),
 					new ServiceName(services.get(i)), backend.address(), LoopbackAddresses.free(),
-					LoopbackAddresses.free(), Duration.ofMillis(500), GRACE, new RepeatSettings(0.2)));
+					LoopbackAddresses.free(), Duration.ofMillis(500), grace, new RepeatSettings(0.2)));
 		}
 		for (int i = 0; i < services.size(); i++) {
 			MeshSettings own = settings.get(i);
