Log and count what backend servers state about themselves

Responses may name a rate limit or that the server is leaving. Neither logs nor metrics showed that, nor the rate at which one server gets requests, so a limit that is not read could not be told from one that is applied by each node or forgotten at a restart.

The node beside a server now logs each change (backend-notice) and, while a limit is named or the server leaves, one line a second with the limit and the requests sent (backend-traffic). Metrics: requests sent, limit, leaving. No decision uses the notices yet.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendMessages.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendMessages.java
@@ -10,14 +10,20 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.AsciiString;
+import org.jboss.logging.Logger;
 
 import org.wasabicart.core.mesh.GateRefusal;
+import org.wasabicart.core.mesh.RateLimit;
 
 /**
  * Converts calls to HTTP requests for a backend server, and its responses to results.
  */
 final class BackendMessages {
 
+	private static final Logger logger = Logger.getLogger(BackendMessages.class);
+
+	private static final String LEAVING = "1";
+
 	private static final int STATUS_MISDIRECTED_REQUEST = 421;
 
 	private static final AsciiString REQUEST_LINE_END = AsciiString.cached(" HTTP/1.1\r\n");
@@ -61,6 +67,29 @@
 		return message;
 	}
 
+	/**
+	 * Returns what the server states about itself in a response.
+	 * @param response complete response
+	 * @param previous notice of its previous response, whose limit stays in effect if the
+	 * new one is unreadable
+	 * @return the notice
+	 */
+	BackendNotice notice(BackendResponse response, BackendNotice previous) {
+		HttpHeaders headers = response.head().headers();
+		boolean leaving = LEAVING.equals(headers.get(this.headerNames.leaving()));
+		String limit = headers.get(this.headerNames.rateLimit());
+		if (limit == null) {
+			return leaving ? new BackendNotice(RateLimit.NONE, true) : BackendNotice.NONE;
+		}
+		try {
+			return new BackendNotice(new RateLimit(Double.parseDouble(limit)), leaving);
+		}
+		catch (IllegalArgumentException ex) {
+			logger.debugf("event=backend-limit-unreadable value=\"%s\"", limit);
+			return new BackendNotice(previous.rateLimit(), leaving);
+		}
+	}
+
 	/**
 	 * Derives the result of a call from the response. A call is reported as not run only
 	 * if the server states that in its response.
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/HeaderNames.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/HeaderNames.java
@@ -11,9 +11,12 @@
  * @param callerService service of the node through which the request entered
  * @param notExecuted marks the response of a server that did not run the request
  * @param signature marks a response that the server itself created
+ * @param rateLimit requests per second that the server accepts from all nodes together,
+ * in a response
+ * @param leaving marks the responses of a server that is leaving
  */
 public record HeaderNames(String requestId, String deadline, String expectedInstance, String callerService,
-		String notExecuted, String signature) {
+		String notExecuted, String signature, String rateLimit, String leaving) {
 
 	public HeaderNames {
 		Objects.requireNonNull(requestId, "requestId");
@@ -22,6 +25,8 @@
 		Objects.requireNonNull(callerService, "callerService");
 		Objects.requireNonNull(notExecuted, "notExecuted");
 		Objects.requireNonNull(signature, "signature");
+		Objects.requireNonNull(rateLimit, "rateLimit");
+		Objects.requireNonNull(leaving, "leaving");
 	}
 
 }
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
@@ -61,12 +61,16 @@
 
 	private final IntSupplier knownServices;
 
+	private final BackendTrafficLog trafficLog;
+
 	private final CallOrigins origins = new CallOrigins();
 
 	private final Set<PendingCall> running = new HashSet<>();
 
 	private BackendAnnouncement current;
 
+	private BackendNotice notice = BackendNotice.NONE;
+
 	private SlotGate gate;
 
 	private boolean deregistered;
@@ -82,11 +86,12 @@
 	private long unreachableUntil;
 
 	LocalBackend(MeshSettings settings, HeaderNames headerNames, EventLoop eventLoop, Runnable changeListener,
-			IntSupplier knownServices) {
+			IntSupplier knownServices, BackendTrafficLog trafficLog) {
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.messages = new BackendMessages(headerNames);
 		this.changeListener = Objects.requireNonNull(changeListener, "changeListener");
 		this.knownServices = Objects.requireNonNull(knownServices, "knownServices");
+		this.trafficLog = Objects.requireNonNull(trafficLog, "trafficLog");
 		this.pool = new BackendPool(eventLoop, settings.backendAddress(), headerNames.requestId());
 	}
 
@@ -271,6 +276,14 @@
 			}
 		}
 		this.pool.expire(now);
+		if (this.current != null) {
+			this.trafficLog.tick(this.current.instance(), now);
+		}
+	}
+
+	private void handleNotice(BackendNotice stated) {
+		this.notice = stated;
+		this.trafficLog.noticed(this.current.instance(), stated);
 	}
 
 	/**
@@ -332,6 +345,7 @@
 				return;
 			}
 			this.connection = opened;
+			LocalBackend.this.trafficLog.requestSent();
 			this.connection.send(LocalBackend.this.messages.request(this.call, remaining, opened.allocator()),
 					HttpMethod.valueOf(this.call.method()), this.call.requestId(), this);
 		}
@@ -346,6 +360,7 @@
 
 		@Override
 		public void answered(BackendResponse response) {
+			handleNotice(LocalBackend.this.messages.notice(response, LocalBackend.this.notice));
 			end(LocalBackend.this.messages.result(response));
 		}
 
@@ -390,6 +405,9 @@
 				boolean measured = result instanceof CallResult.Answered;
 				this.assignedGate.finished(measured ? now - this.started : -1, now);
 			}
+			if (result instanceof CallResult.Refused) {
+				LocalBackend.this.trafficLog.requestRefused();
+			}
 			if (!this.cancelled) {
 				this.listener.ended(result);
 			}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshMetrics.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshMetrics.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 
 import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -28,6 +30,21 @@
 		.classicUpperBounds(LATENCY_BUCKETS_SECONDS)
 		.register(this.registry);
 
+	private final Counter backendRequests = Counter.builder()
+		.name("wasabicart_backend_requests_total")
+		.help("Requests sent to the local backend server")
+		.register(this.registry);
+
+	private final Gauge backendRateLimit = Gauge.builder()
+		.name("wasabicart_backend_rate_limit")
+		.help("Requests per second that the local backend server accepts; +Inf without a limit")
+		.register(this.registry);
+
+	private final Gauge backendLeaving = Gauge.builder()
+		.name("wasabicart_backend_leaving")
+		.help("1 if the local backend server is leaving, otherwise 0")
+		.register(this.registry);
+
 	private final Map<String, Map<String, DistributionDataPoint>> dataPoints = new HashMap<>();
 
 	void observeRequest(String route, String outcome, long nanoseconds) {
@@ -36,6 +53,15 @@
 			.observe(nanoseconds / 1e9);
 	}
 
+	void countBackendRequest() {
+		this.backendRequests.inc();
+	}
+
+	void recordBackendNotice(BackendNotice notice) {
+		this.backendRateLimit.set(notice.rateLimit().requestsPerSecond());
+		this.backendLeaving.set(notice.leaving() ? 1 : 0);
+	}
+
 	/**
 	 * Returns all metrics in the Prometheus text format.
 	 * @return the text
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -138,7 +138,8 @@
 		this.store = Objects.requireNonNull(store, "store");
 		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
-		this.localBackend = new LocalBackend(settings, names, eventLoop, this::publishLocalServer, this::knownServices);
+		this.localBackend = new LocalBackend(settings, names, eventLoop, this::publishLocalServer, this::knownServices,
+				new BackendTrafficLog(metrics));
 		this.peers = new Peers(settings.nodeId(),
 				new PeerEnvironment(eventLoop, this::ownPing, this::handlePing, this::recordOrigin));
 		this.destinations = new Destinations(this.peers, this.localBackend,
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
@@ -53,7 +53,7 @@
 				new InetSocketAddress("127.0.0.1", 3), Duration.ofSeconds(2), Duration.ofSeconds(6),
 				new RepeatSettings(0.2));
 		LocalBackend backend = new LocalBackend(settings, TestHeaders.NAMES, this.channel.eventLoop(), () -> {
-		}, () -> 1);
+		}, () -> 1, new BackendTrafficLog(new MeshMetrics()));
 		EmbeddedChannel server = new EmbeddedChannel(
 				new ServerLink(backend, () -> MeshPing.newBuilder().setAcknowledgement(true).build(), (ping) -> {
 				}));
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestHeaders.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestHeaders.java
@@ -5,7 +5,8 @@
  */
 final class TestHeaders {
 
-	static final HeaderNames NAMES = new HeaderNames("Id", "Deadline", "Expected", "Caller", "Not-Run", "Signature");
+	static final HeaderNames NAMES = new HeaderNames("Id", "Deadline", "Expected", "Caller", "Not-Run", "Signature",
+			"Rate-Limit", "Leaving");
 
 	private TestHeaders() {
 	}
