--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/FakeMeshStore.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/FakeMeshStore.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * In-memory store with faults that a test enables.
+ * In-memory store with faults that a test enables. Several nodes may use it.
  */
 final class FakeMeshStore implements MeshStore {
 
@@ -37,17 +37,17 @@
 	}
 
 	@Override
-	public CompletableFuture<StoredItem> get(String key) {
+	public synchronized CompletableFuture<StoredItem> get(String key) {
 		return respond("get", this.items.getOrDefault(key, new StoredItem(key, null, 0)));
 	}
 
 	@Override
-	public CompletableFuture<StoredItems> list(String prefix) {
+	public synchronized CompletableFuture<StoredItems> list(String prefix) {
 		return respond("list", new StoredItems(List.copyOf(this.items.values()), this.revision));
 	}
 
 	@Override
-	public CompletableFuture<StoredItems> watch(String prefix, long after, Duration wait) {
+	public synchronized CompletableFuture<StoredItems> watch(String prefix, long after, Duration wait) {
 		this.calls.add("watch " + after);
 		CompletableFuture<StoredItems> result = new CompletableFuture<>();
 		this.watches.add(result);
@@ -55,7 +55,7 @@
 	}
 
 	@Override
-	public CompletableFuture<Long> write(String key, long expected, byte[] value, long lease) {
+	public synchronized CompletableFuture<Long> write(String key, long expected, byte[] value, long lease) {
 		this.calls.add("write");
 		if (this.unavailable) {
 			return CompletableFuture.failedFuture(unknown());
@@ -84,12 +84,12 @@
 	}
 
 	@Override
-	public CompletableFuture<Long> grantLease(Duration timeToLive) {
+	public synchronized CompletableFuture<Long> grantLease(Duration timeToLive) {
 		return respond("lease", this.nextLease++);
 	}
 
 	@Override
-	public CompletableFuture<Void> renewLease(long lease) {
+	public synchronized CompletableFuture<Void> renewLease(long lease) {
 		return respond("renew", null);
 	}
 
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MeshNodeTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MeshNodeTests.java
@@ -1,14 +1,9 @@
 package org.wasabicart.mesh;
 
-import java.io.BufferedInputStream;
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
@@ -30,60 +25,26 @@
 
 	private TestFleet fleet;
 
-	private Socket socket;
-
-	private InputStream input;
+	private TestCaller caller;
 
 	@BeforeEach
 	void start() throws Exception {
 		this.fleet = new TestFleet(List.of("a", "b"), 10);
-		this.socket = new Socket("127.0.0.1", this.fleet.entryAddresses.get(0).getPort());
-		this.input = new BufferedInputStream(this.socket.getInputStream());
+		this.caller = new TestCaller(this.fleet.entryAddresses.get(0));
 	}
 
 	@AfterEach
 	void stop() throws IOException {
-		this.socket.close();
+		this.caller.close();
 		this.fleet.close();
 	}
 
-	private void send(String method, String path, String id) throws IOException {
-		this.socket.getOutputStream()
-			.write((method + " " + path + " HTTP/1.1\r\nHost: host\r\nId: " + id
-					+ "\r\nDeadline: 3000\r\nContent-Length: 0\r\n\r\n")
-				.getBytes(StandardCharsets.US_ASCII));
-	}
-
-	private Response receive() throws IOException {
-		String status = readLine();
-		List<String> headers = new ArrayList<>();
-		int length = 0;
-		for (String header = readLine(); !header.isEmpty(); header = readLine()) {
-			headers.add(header.toLowerCase(Locale.ROOT));
-			if (header.toLowerCase(Locale.ROOT).startsWith("content-length: ")) {
-				length = Integer.parseInt(header.substring("content-length: ".length()));
-			}
-		}
-		return new Response(Integer.parseInt(status.split(" ")[1]), headers, this.input.readNBytes(length).length);
-	}
-
-	private String readLine() throws IOException {
-		StringBuilder text = new StringBuilder();
-		for (int next = this.input.read(); next != '\n'; next = this.input.read()) {
-			if (next < 0) {
-				throw new IOException("Connection closed after: " + text);
-			}
-			text.append((char) next);
-		}
-		return text.toString().strip();
-	}
-
 	private List<String> executedRequests(int backend) throws Exception {
-		return this.fleet.onEventLoop(() -> List.copyOf(this.fleet.backends.get(backend).requestIds));
+		return this.fleet.onBackends(() -> List.copyOf(this.fleet.backends.get(backend).requestIds));
 	}
 
 	private void setBehaviour(int backend, TestBackend.Behaviour behaviour) throws Exception {
-		this.fleet.onEventLoop(() -> {
+		this.fleet.onBackends(() -> {
 			this.fleet.backends.get(backend).setBehaviour(behaviour);
 			return null;
 		});
@@ -91,8 +52,8 @@
 
 	@Test
 	void requestIsAnsweredByTheServerOfItsRoute() throws Exception {
-		send("GET", "/b/x", "1");
-		Response response = receive();
+		this.caller.send("GET", "/b/x", "1");
+		TestCaller.Response response = this.caller.receive();
 		assertThat(response.status()).isEqualTo(200);
 		assertThat(response.headers()).contains("id: 1", "signature: i-1");
 		assertThat(response.bodyBytes()).isEqualTo(10);
@@ -102,27 +63,27 @@
 
 	@Test
 	void pipelinedRequestsAreAnsweredInOrder() throws Exception {
-		send("GET", "/b/x", "1");
-		send("GET", "/none/x", "2");
-		send("GET", "/a/x", "3");
-		assertThat(receive().headers()).contains("id: 1");
-		assertThat(receive().status()).isEqualTo(404);
-		assertThat(receive().headers()).contains("id: 3");
+		this.caller.send("GET", "/b/x", "1");
+		this.caller.send("GET", "/none/x", "2");
+		this.caller.send("GET", "/a/x", "3");
+		assertThat(this.caller.receive().headers()).contains("id: 1");
+		assertThat(this.caller.receive().status()).isEqualTo(404);
+		assertThat(this.caller.receive().headers()).contains("id: 3");
 	}
 
 	@Test
 	void nonIdempotentRequestThatMayHaveRunFailsAndIsNotRepeated() throws Exception {
 		setBehaviour(1, TestBackend.Behaviour.CLOSE);
-		send("POST", "/b/write/x", "1");
-		assertThat(receive().status()).isEqualTo(502);
+		this.caller.send("POST", "/b/write/x", "1");
+		assertThat(this.caller.receive().status()).isEqualTo(502);
 		assertThat(executedRequests(1)).containsExactly("1");
 	}
 
 	@Test
 	void requestShedByTheServerIsRefusedWithARetryDelay() throws Exception {
 		setBehaviour(1, TestBackend.Behaviour.SHED);
-		send("POST", "/b/write/x", "1");
-		Response response = receive();
+		this.caller.send("POST", "/b/write/x", "1");
+		TestCaller.Response response = this.caller.receive();
 		assertThat(response.status()).isEqualTo(503);
 		assertThat(response.headers()).anyMatch((header) -> header.startsWith("retry-after: 0."));
 	}
@@ -131,46 +92,38 @@
 	void requestToASilentServerEndsAtTheRouteTimeout() throws Exception {
 		setBehaviour(1, TestBackend.Behaviour.SILENT);
 		long start = System.nanoTime();
-		send("GET", "/b/x", "1");
-		assertThat(receive().status()).isEqualTo(504);
+		this.caller.send("GET", "/b/x", "1");
+		assertThat(this.caller.receive().status()).isEqualTo(504);
 		assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)).isBetween(700L, 1300L);
 	}
 
 	@Test
 	void requestToAnUnreachableServerIsRefusedWithoutDelay() throws Exception {
-		this.fleet.onEventLoop(() -> {
+		this.fleet.onBackends(() -> {
 			this.fleet.backends.get(1).stop();
 			return null;
 		});
 		long start = System.nanoTime();
-		send("POST", "/b/write/x", "1");
-		assertThat(receive().status()).isEqualTo(503);
+		this.caller.send("POST", "/b/write/x", "1");
+		assertThat(this.caller.receive().status()).isEqualTo(503);
 		assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)).isLessThan(400);
 	}
 
 	@Test
 	void drainingServerGetsNoCallAfterItsDrainTime() throws Exception {
-		this.fleet.onEventLoop(() -> {
-			this.fleet.nodes.get(1)
-				.handleHeartbeat(new BackendAnnouncement("i-1", 1, 2, new ServiceName("b"), 20, ServerState.DRAINING));
-			return null;
-		});
+		this.fleet.announce(1, 2, ServerState.DRAINING);
 		TimeUnit.MILLISECONDS.sleep(500);
-		send("GET", "/b/x", "1");
-		assertThat(receive().status()).isEqualTo(503);
+		this.caller.send("GET", "/b/x", "1");
+		assertThat(this.caller.receive().status()).isEqualTo(503);
 		assertThat(executedRequests(1)).isEmpty();
 	}
 
 	@Test
 	void lateHeartbeatOfAnEarlierIncarnationIsIgnored() throws Exception {
-		this.fleet.onEventLoop(() -> {
-			this.fleet.nodes.get(1)
-				.handleHeartbeat(
-						new BackendAnnouncement("i-old", 0, 9, new ServiceName("b"), 20, ServerState.DRAINING));
-			return null;
-		});
-		send("GET", "/b/x", "1");
-		assertThat(receive().status()).isEqualTo(200);
+		this.fleet.handleHeartbeat(1,
+				new BackendAnnouncement("i-old", 0, 9, new ServiceName("b"), 20, ServerState.DRAINING));
+		this.caller.send("GET", "/b/x", "1");
+		assertThat(this.caller.receive().status()).isEqualTo(200);
 	}
 
 	/**
@@ -181,12 +134,11 @@
 	void stoppedNodeForwardsNoRequest() throws Exception {
 		try (TestFleet longGraceFleet = new TestFleet(List.of("a", "b"), 10, Duration.ofSeconds(30))) {
 			longGraceFleet.nodes.get(0).close();
-			this.socket.close();
-			this.socket = new Socket("127.0.0.1", longGraceFleet.entryAddresses.get(0).getPort());
-			this.input = new BufferedInputStream(this.socket.getInputStream());
-			send("GET", "/b/x", "late");
-			assertThat(receive().status()).isEqualTo(503);
-			assertThat(longGraceFleet.onEventLoop(() -> List.copyOf(longGraceFleet.backends.get(1).requestIds)))
+			this.caller.close();
+			this.caller = new TestCaller(longGraceFleet.entryAddresses.get(0));
+			this.caller.send("GET", "/b/x", "late");
+			assertThat(this.caller.receive().status()).isEqualTo(503);
+			assertThat(longGraceFleet.onBackends(() -> List.copyOf(longGraceFleet.backends.get(1).requestIds)))
 				.isEmpty();
 		}
 	}
@@ -202,19 +154,14 @@
 		stop.start();
 		List<Integer> statuses = new ArrayList<>();
 		while (stop.isAlive()) {
-			this.socket.close();
-			this.socket = new Socket("127.0.0.1", this.fleet.entryAddresses.get(0).getPort());
-			this.input = new BufferedInputStream(this.socket.getInputStream());
-			send("GET", "/b/x", "s" + statuses.size());
-			statuses.add(receive().status());
+			this.caller.close();
+			this.caller = new TestCaller(this.fleet.entryAddresses.get(0));
+			this.caller.send("GET", "/b/x", "s" + statuses.size());
+			statuses.add(this.caller.receive().status());
 		}
 		assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(TestFleet.GRACE);
 		assertThat(statuses.get(0)).isEqualTo(200);
 		assertThat(statuses.get(statuses.size() - 1)).isEqualTo(503);
 	}
 
-	private record Response(int status, List<String> headers, int bodyBytes) {
-
-	}
-
 }
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestBackend.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestBackend.java
@@ -27,12 +27,19 @@
 
 	final List<String> requestIds = new ArrayList<>();
 
+	/** Arrival times of the requests in nanoseconds. */
+	final List<Long> arrivals = new ArrayList<>();
+
 	final String instance;
 
 	private final Channel listener;
 
 	private Behaviour behaviour = Behaviour.ANSWER;
 
+	private String rateLimit;
+
+	private boolean leaving;
+
 	private final byte[] body;
 
 	TestBackend(EventLoop eventLoop, InetSocketAddress address, String instance, int bodyBytes) throws IOException {
@@ -65,9 +72,18 @@
 		this.behaviour = value;
 	}
 
+	void nameLimit(String requestsPerSecond) {
+		this.rateLimit = requestsPerSecond;
+	}
+
+	void leave() {
+		this.leaving = true;
+	}
+
 	private void handle(ChannelHandlerContext context, FullHttpRequest request) {
 		String id = request.headers().get("Id");
 		this.requestIds.add(id);
+		this.arrivals.add(System.nanoTime());
 		switch (this.behaviour) {
 			case ANSWER -> context.writeAndFlush(response(id, HttpResponseStatus.OK, true));
 			case SHED -> {
@@ -89,6 +105,12 @@
 		if (signed) {
 			response.headers().set("Signature", this.instance);
 		}
+		if (this.rateLimit != null) {
+			response.headers().set("Rate-Limit", this.rateLimit);
+		}
+		if (this.leaving) {
+			response.headers().set("Leaving", "1");
+		}
 		HttpUtil.setContentLength(response, this.body.length);
 		return response;
 	}
--- /dev/null
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestCaller.java
@@ -0,0 +1,67 @@
+package org.wasabicart.mesh;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Caller with one open connection to a node.
+ */
+final class TestCaller implements AutoCloseable {
+
+	private final Socket socket;
+
+	private final InputStream input;
+
+	TestCaller(InetSocketAddress entryAddress) throws IOException {
+		this.socket = new Socket(entryAddress.getAddress(), entryAddress.getPort());
+		this.input = new BufferedInputStream(this.socket.getInputStream());
+	}
+
+	void send(String method, String path, String id) throws IOException {
+		this.socket.getOutputStream()
+			.write((method + " " + path + " HTTP/1.1\r\nHost: host\r\nId: " + id
+					+ "\r\nDeadline: 3000\r\nContent-Length: 0\r\n\r\n")
+				.getBytes(StandardCharsets.US_ASCII));
+	}
+
+	Response receive() throws IOException {
+		String status = readLine();
+		List<String> headers = new ArrayList<>();
+		int length = 0;
+		for (String header = readLine(); !header.isEmpty(); header = readLine()) {
+			headers.add(header.toLowerCase(Locale.ROOT));
+			if (header.toLowerCase(Locale.ROOT).startsWith("content-length: ")) {
+				length = Integer.parseInt(header.substring("content-length: ".length()));
+			}
+		}
+		return new Response(Integer.parseInt(status.split(" ")[1]), headers, this.input.readNBytes(length).length);
+	}
+
+	private String readLine() throws IOException {
+		StringBuilder text = new StringBuilder();
+		for (int next = this.input.read(); next != '\n'; next = this.input.read()) {
+			if (next < 0) {
+				throw new IOException("Connection closed after: " + text);
+			}
+			text.append((char) next);
+		}
+		return text.toString().strip();
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.socket.close();
+	}
+
+	record Response(int status, List<String> headers, int bodyBytes) {
+
+	}
+
+}
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 
@@ -25,7 +25,8 @@
 import org.wasabicart.core.model.ServiceName;
 
 /**
- * Mesh nodes with backend servers on the loopback interface, all on one event loop.
+ * Mesh nodes with backend servers on the loopback interface. Each node has an event loop
+ * of its own, so that it can be killed; the servers share one.
  */
 final class TestFleet implements AutoCloseable {
 
@@ -33,11 +34,16 @@
 
 	private static final String HOST = "127.0.0.1";
 
-	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+	private final MultiThreadIoEventLoopGroup backendGroup = new MultiThreadIoEventLoopGroup(1,
+			NioIoHandler.newFactory());
 
-	private final EventLoop eventLoop = this.group.next();
+	private final List<MultiThreadIoEventLoopGroup> nodeGroups = new ArrayList<>();
 
-	private final FakeMeshStore store = new FakeMeshStore();
+	private final List<MeshSettings> settings = new ArrayList<>();
+
+	private final List<String> services;
+
+	final FakeMeshStore store = new FakeMeshStore();
 
 	final List<TestBackend> backends = new ArrayList<>();
 
@@ -50,16 +56,17 @@
 	}
 
 	TestFleet(List<String> services, int bodyBytes, Duration grace) throws Exception {
-		List<MeshSettings> settings = new ArrayList<>();
+		this.services = List.copyOf(services);
 		for (int i = 0; i < services.size(); i++) {
-			TestBackend backend = new TestBackend(this.eventLoop, new InetSocketAddress(HOST, 0), "i-" + i, bodyBytes);
+			TestBackend backend = new TestBackend(this.backendGroup.next(), new InetSocketAddress(HOST, 0), "i-" + i,
+					bodyBytes);
 			this.backends.add(backend);
-			settings.add(new MeshSettings(new NodeId("n" + i), new FailureDomain("d"), new RegionName("r"),
+			this.settings.add(new MeshSettings(new NodeId("n" + i), new FailureDomain("d"), new RegionName("r"),
 					new ServiceName(services.get(i)), backend.address(), LoopbackAddresses.findFree(),
 					LoopbackAddresses.findFree(), Duration.ofMillis(500), grace, new RepeatSettings(0.2)));
 		}
 		for (int i = 0; i < services.size(); i++) {
-			MeshSettings nodeSettings = settings.get(i);
+			MeshSettings nodeSettings = this.settings.get(i);
 			MeshMember member = new MeshMember(nodeSettings.nodeId(),
 					new NodeAddress(HOST, nodeSettings.linkAddress().getPort()), nodeSettings.failureDomain(),
 					nodeSettings.region(), nodeSettings.service(), "i-" + i, 20, ServerState.READY);
@@ -69,23 +76,50 @@
 		}
 		this.store.items.put("configuration", new MeshStore.StoredItem("configuration", new byte[0], 9));
 		for (int i = 0; i < services.size(); i++) {
-			start(settings.get(i), services, i);
+			this.entryAddresses.add(this.settings.get(i).entryAddress());
+			this.nodes.add(null);
+			this.nodeGroups.add(null);
+			start(i);
 		}
 		// Time for the nodes to read the store and to connect to each other.
 		TimeUnit.MILLISECONDS.sleep(300);
 	}
 
-	private void start(MeshSettings settings, List<String> services, int index) throws Exception {
-		MeshNode node = new MeshNode(settings, TestHeaders.NAMES, new StoreKeys("configuration", "members/"),
-				(value) -> configuration(services), this.store, this.eventLoop, new SplittableRandom(index),
-				new MeshMetrics());
-		this.nodes.add(node);
-		this.entryAddresses.add(settings.entryAddress());
+	/**
+	 * Starts the process of a node, also after {@link #kill}. Its server has announced
+	 * itself when this returns.
+	 * @param index number of the node
+	 * @throws Exception if the node cannot be started
+	 */
+	void start(int index) throws Exception {
+		MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+		MeshNode node = new MeshNode(this.settings.get(index), TestHeaders.NAMES,
+				new StoreKeys("configuration", "members/"), (value) -> configuration(this.services), this.store,
+				group.next(), new SplittableRandom(index), new MeshMetrics());
+		this.nodeGroups.set(index, group);
+		this.nodes.set(index, node);
 		node.start();
-		this.eventLoop
-			.submit(() -> node.handleHeartbeat(new BackendAnnouncement(this.backends.get(index).instance, 1, 1,
-					settings.service(), 20, ServerState.READY)))
-			.sync();
+		announce(index, 1, ServerState.READY);
+	}
+
+	/**
+	 * Ends the process of a node without a graceful stop: all of its connections close.
+	 * @param index number of the node
+	 */
+	void kill(int index) {
+		this.nodeGroups.get(index).shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+	}
+
+	void announce(int index, long sequence, ServerState state) throws Exception {
+		handleHeartbeat(index, new BackendAnnouncement(this.backends.get(index).instance, 1, sequence,
+				this.settings.get(index).service(), 20, state));
+	}
+
+	void handleHeartbeat(int index, BackendAnnouncement announcement) throws Exception {
+		onNode(index, () -> {
+			this.nodes.get(index).handleHeartbeat(announcement);
+			return null;
+		});
 	}
 
 	private static MeshConfiguration configuration(List<String> services) {
@@ -101,13 +135,27 @@
 		return new MeshConfiguration(1, routes, List.of(), CallerLimits.DEFAULT);
 	}
 
-	<T> T onEventLoop(java.util.concurrent.Callable<T> task) throws Exception {
-		return this.eventLoop.submit(task).sync().getNow();
+	/**
+	 * Runs a task on the event loop of the servers.
+	 * @param <T> type of the result
+	 * @param task task
+	 * @return result of the task
+	 * @throws Exception if the task fails
+	 */
+	<T> T onBackends(Callable<T> task) throws Exception {
+		return this.backendGroup.next().submit(task).sync().getNow();
+	}
+
+	private <T> T onNode(int index, Callable<T> task) throws Exception {
+		return this.nodeGroups.get(index).next().submit(task).sync().getNow();
 	}
 
 	@Override
 	public void close() {
-		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+		for (int i = 0; i < this.nodeGroups.size(); i++) {
+			kill(i);
+		}
+		this.backendGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
 	}
 
 }
