Enforce the rate limit that a backend server names

Cause: the gate in front of a server bounded only its concurrency, and the node took nothing from responses but the answer itself. A server that answers quickly looked idle at any rate.

Change: the node beside the server, which all calls pass, admits calls through a token bucket at the named rate, by priority, and refuses those that the rate admits too late (RATE_LIMITED). Replies carry the limit and the rate to the other nodes, which place calls by the share of the limit in use, and use another region only while the limits of the local region are used up. Each call carries the limit that its sender knows, so that a node beside the server that has restarted holds it from the first call on. Limits belong to an incarnation: id and start time.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/GateRefusal.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/GateRefusal.java
@@ -8,6 +8,9 @@
 	/** No slot becomes free early enough. */
 	OVERLOADED,
 
+	/** The rate limit of the server does not admit the call early enough. */
+	RATE_LIMITED,
+
 	/** The deadline has passed or is too close. */
 	EXPIRED,
 
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberStatus.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberStatus.java
@@ -1,6 +1,7 @@
 package org.wasabicart.core.mesh;
 
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * State of a backend server as seen by a node that sends calls to it.
@@ -10,10 +11,16 @@
 	/** Weight of the newest call; averages over about the last 20 calls. */
 	private static final double FAILED_SHARE_WEIGHT = 0.05;
 
+	private final IncarnationRecords records;
+
 	private MeshMember member;
 
+	private IncarnationRecord incarnationRecord;
+
 	private MemberLoadReport report;
 
+	private long reportTime;
+
 	private int inFlight;
 
 	private int inFlightAtReport;
@@ -29,8 +36,10 @@
 	/**
 	 * Creates a status.
 	 * @param member server
+	 * @param records what is known about the incarnations of servers
 	 */
-	public MemberStatus(MeshMember member) {
+	public MemberStatus(MeshMember member, IncarnationRecords records) {
+		this.records = Objects.requireNonNull(records, "records");
 		member(member);
 	}
 
@@ -49,12 +58,13 @@
 	 */
 	public void member(MeshMember announced) {
 		Objects.requireNonNull(announced, "announced");
-		if (this.member != null && !this.member.instance().equals(announced.instance())) {
+		if (this.member != null && !this.member.incarnation().equals(announced.incarnation())) {
 			this.report = null;
 			this.avoided = false;
 			this.failedShare = 0;
 		}
 		this.member = announced;
+		this.incarnationRecord = this.records.get(announced.incarnation());
 	}
 
 	/**
@@ -91,10 +101,21 @@
 	/**
 	 * Records the load that was reported with an answer.
 	 * @param load load
+	 * @param now current time in nanoseconds
 	 */
-	public void reported(MemberLoadReport load) {
+	public void reported(MemberLoadReport load, long now) {
 		this.report = load;
+		this.reportTime = now;
 		this.inFlightAtReport = this.inFlight;
+		load.rateLimit().ifPresent(this.incarnationRecord::rateLimit);
+	}
+
+	/**
+	 * Returns the rate limit that the server has named last.
+	 * @return the limit, or empty if no response of the server is known
+	 */
+	public Optional<RateLimit> rateLimit() {
+		return this.incarnationRecord.rateLimit();
 	}
 
 	/**
@@ -135,15 +156,44 @@
 	}
 
 	/**
-	 * Returns the running and waiting calls as a share of the slots.
-	 * @return the load; 1 means that all slots are in use
+	 * Returns the share of the server's capacity that is in use: of its slots or of its
+	 * rate limit, whichever is higher.
+	 * @param now current time in nanoseconds
+	 * @return the load; 1 means that all slots or all requests per second are in use
 	 */
-	public double load() {
+	public double load(long now) {
+		return Math.max(slotLoad(), rateLoad(now));
+	}
+
+	private double slotLoad() {
 		if (this.report == null) {
 			return (double) this.inFlight / this.member.slots();
 		}
-		int sinceReport = Math.max(0, this.inFlight - this.inFlightAtReport);
-		return (double) (this.report.running() + this.report.waiting() + sinceReport) / this.report.limit();
+		return (double) (this.report.running() + this.report.waiting() + sentSinceReport()) / this.report.limit();
+	}
+
+	private int sentSinceReport() {
+		return Math.max(0, this.inFlight - this.inFlightAtReport);
+	}
+
+	private double rateLoad(long now) {
+		RateLimit limit = rateLimit().orElse(RateLimit.NONE);
+		if (!limit.limited() || this.report == null) {
+			return 0;
+		}
+		// Calls that other nodes send after the report are unknown, so its weight decays.
+		double reported = (this.report.requestRate() + this.report.waiting())
+				* RequestRate.decay(now - this.reportTime);
+		return (reported + sentSinceReport()) / Math.max(RequestRateLimiter.MINIMUM_RATE, limit.requestsPerSecond());
+	}
+
+	/**
+	 * Returns whether the requests per second that the server accepts are in use.
+	 * @param now current time in nanoseconds
+	 * @return whether its rate limit is used up
+	 */
+	boolean rateLimitUsedUp(long now) {
+		return rateLoad(now) >= 1;
 	}
 
 }
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MeshMember.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MeshMember.java
@@ -16,12 +16,12 @@
  * @param failureDomain failure domain of the VM
  * @param region region of the failure domain
  * @param service service of the server
- * @param instance id of the server's incarnation
+ * @param incarnation run of the server
  * @param slots requests that the server runs at the same time
  * @param state whether the server takes new work
  */
 public record MeshMember(NodeId node, NodeAddress address, FailureDomain failureDomain, RegionName region,
-		ServiceName service, String instance, int slots, ServerState state) {
+		ServiceName service, BackendIncarnation incarnation, int slots, ServerState state) {
 
 	public MeshMember {
 		Objects.requireNonNull(node, "node");
@@ -29,11 +29,19 @@
 		Objects.requireNonNull(failureDomain, "failureDomain");
 		Objects.requireNonNull(region, "region");
 		Objects.requireNonNull(service, "service");
-		Objects.requireNonNull(instance, "instance");
+		Objects.requireNonNull(incarnation, "incarnation");
 		Objects.requireNonNull(state, "state");
 		if (slots < 1) {
-			throw new IllegalArgumentException("slots of a server must be at least 1: " + instance);
+			throw new IllegalArgumentException("slots of a server must be at least 1: " + incarnation);
 		}
 	}
 
+	/**
+	 * Returns the id of the server.
+	 * @return the id
+	 */
+	public String instance() {
+		return this.incarnation.instance();
+	}
+
 }
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/Placement.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/Placement.java
@@ -12,7 +12,8 @@
  * Chooses the backend server of one request by distance and load. Handles servers of
  * different speed and a link between regions whose bandwidth is limited and billed: the
  * local failure domain is used until it is clearly busier than another one, and another
- * region only while the local region has no usable server.
+ * region only while the local region has no usable server, or while all of its servers
+ * have used up the rate limits that they named.
  */
 public final class Placement {
 
@@ -22,6 +23,12 @@
 	/** Exceeds any load: the link between regions has limited bandwidth and is billed. */
 	static final double REGION_MARGIN = 1000;
 
+	/**
+	 * Cost of a server that refuses most calls, since its rate limit is used up. Exceeds
+	 * the cost of another region, except for servers there that are busy.
+	 */
+	private static final double UNLIKELY_ADMISSION_COST = 2 * REGION_MARGIN;
+
 	/** Load above which waiting becomes likely, as a share of the slots. */
 	static final double BUSY_LOAD = 0.9;
 
@@ -69,7 +76,7 @@
 					|| excluded.test(candidate.member().node())) {
 				continue;
 			}
-			double cost = cost(candidate);
+			double cost = cost(candidate, now);
 			if (cost < bestCost) {
 				best = candidate;
 				bestCost = cost;
@@ -78,15 +85,24 @@
 		return best;
 	}
 
-	private boolean isInLocalRegion(MemberStatus candidate) {
+	/**
+	 * Returns whether a server is in the region of this node.
+	 * @param candidate server
+	 * @return whether calls to it stay in the region
+	 */
+	public boolean isInLocalRegion(MemberStatus candidate) {
 		return candidate.member().region().equals(this.region);
 	}
 
-	private double cost(MemberStatus candidate) {
-		double load = candidate.load();
+	private double cost(MemberStatus candidate, long now) {
+		double load = candidate.load(now);
 		double cost = load + BUSY_FACTOR * Math.max(0, load - BUSY_LOAD) + FAILED_SHARE_COST * candidate.failedShare()
 				+ this.random.nextDouble() * RANDOM_COST;
-		if (!isInLocalRegion(candidate)) {
+		boolean local = isInLocalRegion(candidate);
+		if (candidate.rateLimitUsedUp(now) || !local && load > BUSY_LOAD) {
+			cost += UNLIKELY_ADMISSION_COST;
+		}
+		if (!local) {
 			return cost + REGION_MARGIN;
 		}
 		return candidate.member().failureDomain().equals(this.failureDomain) ? cost : cost + DOMAIN_MARGIN;
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/SlotGate.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/SlotGate.java
@@ -7,11 +7,11 @@
 import java.util.TreeSet;
 
 /**
- * Assigns the slots of one backend server to calls by priority, then by the earliest
- * latest start, and refuses calls that would start too late. Handles demand beyond the
- * capacity of one server: a call that cannot start in time is refused immediately, before
- * any work is done, and calls with an early latest start do not starve behind calls that
- * can wait longer.
+ * Assigns the slots of one backend server, and the requests per second that it accepts,
+ * to calls by priority, then by the earliest latest start, and refuses calls that would
+ * start too late. Handles demand beyond the capacity of one server: a call that cannot
+ * start in time is refused immediately, before any work is done, and calls with an early
+ * latest start do not starve behind calls that can wait longer.
  */
 public final class SlotGate {
 
@@ -33,6 +33,10 @@
 
 	private final TreeSet<GateEntry> waiting = new TreeSet<>(ORDER);
 
+	private final RequestRateLimiter rateLimiter = new RequestRateLimiter();
+
+	private final RequestRate admittedRate = new RequestRate();
+
 	private int limit;
 
 	private int running;
@@ -57,6 +61,32 @@
 		this.limit = Math.max(1, (int) (slots * USED_SHARE));
 	}
 
+	/**
+	 * Changes the rate up to which the server accepts requests from all nodes together.
+	 * @param limit rate limit
+	 * @param now current time in nanoseconds
+	 */
+	public void rateLimit(RateLimit limit, long now) {
+		this.rateLimiter.limit(limit, now);
+	}
+
+	/**
+	 * Returns the rate up to which the server accepts requests.
+	 * @return the rate limit
+	 */
+	public RateLimit rateLimit() {
+		return this.rateLimiter.limit();
+	}
+
+	/**
+	 * Returns the rate of the admitted calls.
+	 * @param now current time in nanoseconds
+	 * @return the calls per second
+	 */
+	public double admittedPerSecond(long now) {
+		return this.admittedRate.requestsPerSecond(now);
+	}
+
 	/**
 	 * Returns the largest number of calls that run at the same time.
 	 * @return the limit
@@ -96,19 +126,35 @@
 	 */
 	public void offer(GateEntry entry, long now) {
 		entry.sequence(this.nextSequence++);
-		if (this.running < this.limit && this.waiting.isEmpty()) {
-			admit(entry);
+		if (this.running < this.limit && this.waiting.isEmpty() && this.rateLimiter.tryAcquire(now)) {
+			admit(entry, now);
+			return;
+		}
+		long position = this.waiting.headSet(entry).size() + 1;
+		if (now + this.rateLimiter.delay(position, now) - entry.latestStart() > 0) {
+			entry.listener().refused(GateRefusal.RATE_LIMITED);
 			return;
 		}
-		long ahead = this.waiting.headSet(entry).size();
-		double wait = (ahead + 1) * this.serviceTime / this.limit;
-		if (now + (long) wait - entry.latestStart() > 0) {
+		double slotWait = position * this.serviceTime / this.limit;
+		if (now + (long) slotWait - entry.latestStart() > 0) {
 			entry.listener().refused(GateRefusal.OVERLOADED);
 			return;
 		}
 		this.waiting.add(entry);
 	}
 
+	/**
+	 * Returns the time after which {@link #expire} may admit a waiting call that the rate
+	 * limit holds back.
+	 * @param now current time in nanoseconds
+	 * @return the time in nanoseconds, or {@link Long#MAX_VALUE} if no call waits for the
+	 * rate limit
+	 */
+	public long admissionDelay(long now) {
+		boolean rateLimited = !this.waiting.isEmpty() && this.running < this.limit;
+		return rateLimited ? this.rateLimiter.delay(1, now) : Long.MAX_VALUE;
+	}
+
 	/**
 	 * Releases the slot of a call and admits waiting calls.
 	 * @param heldTime time in the slot in nanoseconds, or a negative number to leave it
@@ -145,7 +191,7 @@
 				expired.add(entry);
 			}
 		}
-		expired.forEach((entry) -> entry.listener().refused(GateRefusal.OVERLOADED));
+		expired.forEach((entry) -> entry.listener().refused(lateStartRefusal()));
 		admitWaiting(now);
 	}
 
@@ -159,20 +205,28 @@
 		refused.forEach((entry) -> entry.listener().refused(refusal));
 	}
 
+	private GateRefusal lateStartRefusal() {
+		boolean slotFree = this.running < this.limit;
+		return (slotFree && rateLimit().limited()) ? GateRefusal.RATE_LIMITED : GateRefusal.OVERLOADED;
+	}
+
 	private void admitWaiting(long now) {
 		while (this.running < this.limit && !this.waiting.isEmpty()) {
-			GateEntry entry = this.waiting.pollFirst();
-			if (now - entry.latestStart() > 0) {
-				entry.listener().refused(GateRefusal.OVERLOADED);
+			if (now - this.waiting.first().latestStart() > 0) {
+				this.waiting.pollFirst().listener().refused(lateStartRefusal());
+			}
+			else if (this.rateLimiter.tryAcquire(now)) {
+				admit(this.waiting.pollFirst(), now);
 			}
 			else {
-				admit(entry);
+				return;
 			}
 		}
 	}
 
-	private void admit(GateEntry entry) {
+	private void admit(GateEntry entry, long now) {
 		this.running++;
+		this.admittedRate.record(now);
 		entry.listener().admitted();
 	}
 
--- a/wasabicart-core/src/test/java/org/wasabicart/core/mesh/PlacementTests.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/mesh/PlacementTests.java
@@ -1,7 +1,9 @@
 package org.wasabicart.core.mesh;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
 
@@ -29,13 +31,17 @@
 	private final MemberStatus otherRegion = status("other-region", "three", "there");
 
 	private static MemberStatus status(String node, String failureDomain, String region) {
-		MemberStatus status = new MemberStatus(
-				new MeshMember(new NodeId(node), new NodeAddress("127.0.0.1", 1), new FailureDomain(failureDomain),
-						new RegionName(region), new ServiceName("service"), "i-" + node, 100, ServerState.READY));
-		status.reported(new MemberLoadReport(100, 10, 0));
+		MemberStatus status = new MemberStatus(new MeshMember(new NodeId(node), new NodeAddress("127.0.0.1", 1),
+				new FailureDomain(failureDomain), new RegionName(region), new ServiceName("service"),
+				new BackendIncarnation("i-" + node, 1), 100, ServerState.READY), new IncarnationRecords());
+		status.reported(report(100, 10, 0), 0);
 		return status;
 	}
 
+	private static MemberLoadReport report(int limit, int running, int waiting) {
+		return new MemberLoadReport(limit, running, waiting, Optional.of(RateLimit.NONE), running);
+	}
+
 	private MemberStatus choose() {
 		return this.placement.choose(List.of(this.localDomain, this.otherDomain, this.otherRegion), (node) -> false,
 				false, 0);
@@ -48,20 +54,55 @@
 
 	@Test
 	void otherFailureDomainIsUsedBeforeTheLocalOneIsFull() {
-		this.localDomain.reported(new MemberLoadReport(100, 80, 0));
+		this.localDomain.reported(report(100, 80, 0), 0);
 		assertThat(choose()).isSameAs(this.otherDomain);
 	}
 
 	@Test
 	void otherRegionIsUsedOnlyWithoutAUsableLocalServer() {
-		this.localDomain.reported(new MemberLoadReport(100, 100, 50));
-		this.otherDomain.reported(new MemberLoadReport(100, 100, 50));
+		this.localDomain.reported(report(100, 100, 50), 0);
+		this.otherDomain.reported(report(100, 100, 50), 0);
 		assertThat(choose()).isNotSameAs(this.otherRegion);
 		this.localDomain.reachable(false);
 		this.otherDomain.avoid(10);
 		assertThat(choose()).isSameAs(this.otherRegion);
 	}
 
+	private static MemberLoadReport limitedReport(double limit, double requestRate) {
+		return new MemberLoadReport(100, 10, 0, Optional.of(new RateLimit(limit)), requestRate);
+	}
+
+	@Test
+	void otherRegionIsUsedWhileTheLocalRateLimitsAreUsedUp() {
+		this.localDomain.reported(limitedReport(20, 21), 0);
+		this.otherDomain.reported(limitedReport(20, 21), 0);
+		assertThat(choose()).isSameAs(this.otherRegion);
+	}
+
+	@Test
+	void busyServerOfAnotherRegionIsNotUsedInPlaceOfRateLimitedServers() {
+		this.localDomain.reported(limitedReport(20, 21), 0);
+		this.otherDomain.reported(limitedReport(20, 25), 0);
+		this.otherRegion.reported(report(100, 95, 0), 0);
+		assertThat(choose()).isSameAs(this.localDomain);
+	}
+
+	@Test
+	void reportedRequestRateDecays() {
+		this.localDomain.reported(limitedReport(20, 25), 0);
+		assertThat(this.localDomain.rateLimitUsedUp(0)).isTrue();
+		assertThat(this.localDomain.rateLimitUsedUp(TimeUnit.SECONDS.toNanos(1))).isFalse();
+	}
+
+	@Test
+	void newIncarnationUnderTheSameIdHasNoRateLimit() {
+		this.localDomain.reported(limitedReport(20, 25), 0);
+		MeshMember member = this.localDomain.member();
+		this.localDomain.member(new MeshMember(member.node(), member.address(), member.failureDomain(), member.region(),
+				member.service(), new BackendIncarnation(member.instance(), 2), 100, ServerState.READY));
+		assertThat(this.localDomain.rateLimit()).isEmpty();
+	}
+
 	@Test
 	void otherRegionIsNotUsedIfOnlyTheLocalRegionIsAllowed() {
 		this.localDomain.reachable(false);
--- a/wasabicart-core/src/test/java/org/wasabicart/core/mesh/SlotGateTests.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/mesh/SlotGateTests.java
@@ -73,6 +73,43 @@
 		assertThat(this.events).containsExactly("running admitted", "waiting OVERLOADED");
 	}
 
+	@Test
+	void highestPriorityGetsTheNextRequestThatTheRateLimitAdmits() {
+		SlotGate gate = new SlotGate(100);
+		gate.rateLimit(new RateLimit(10), 0);
+		gate.offer(entry("first", 1, 0), 0);
+		gate.offer(entry("low", 9, 1000 * MILLISECOND), 0);
+		gate.offer(entry("high", 0, 1000 * MILLISECOND), 0);
+		assertThat(gate.admissionDelay(0)).isEqualTo(100 * MILLISECOND);
+		gate.expire(100 * MILLISECOND);
+		gate.expire(199 * MILLISECOND);
+		assertThat(this.events).containsExactly("first admitted", "high admitted");
+		gate.expire(201 * MILLISECOND);
+		assertThat(this.events).contains("low admitted");
+	}
+
+	@Test
+	void callThatTheRateLimitAdmitsTooLateIsRefusedImmediately() {
+		SlotGate gate = new SlotGate(100);
+		gate.rateLimit(new RateLimit(10), 0);
+		gate.offer(entry("first", 1, 0), 0);
+		gate.offer(entry("urgent", 1, 99 * MILLISECOND), 0);
+		gate.offer(entry("patient", 1, 101 * MILLISECOND), 0);
+		assertThat(this.events).containsExactly("first admitted", "urgent RATE_LIMITED");
+		assertThat(gate.waiting()).isEqualTo(1);
+	}
+
+	@Test
+	void waitingCallsAreAdmittedWhenTheRateLimitEnds() {
+		SlotGate gate = new SlotGate(100);
+		gate.rateLimit(new RateLimit(1), 0);
+		gate.offer(entry("first", 1, 0), 0);
+		gate.offer(entry("second", 1, 2000 * MILLISECOND), 0);
+		gate.rateLimit(RateLimit.NONE, MILLISECOND);
+		gate.expire(MILLISECOND);
+		assertThat(this.events).containsExactly("first admitted", "second admitted");
+	}
+
 	@Test
 	void slotIsNotLostWhenACallIsWithdrawn() {
 		SlotGate gate = new SlotGate(1);
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendAnnouncement.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendAnnouncement.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 
+import org.wasabicart.core.mesh.BackendIncarnation;
 import org.wasabicart.core.mesh.ServerState;
 import org.wasabicart.core.model.ServiceName;
 
@@ -28,4 +29,12 @@
 		}
 	}
 
+	/**
+	 * Returns the run of the server.
+	 * @return the incarnation
+	 */
+	public BackendIncarnation incarnation() {
+		return new BackendIncarnation(this.instance, this.born);
+	}
+
 }
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendMessages.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendMessages.java
@@ -70,11 +70,11 @@
 	/**
 	 * Returns what the server states about itself in a response.
 	 * @param response complete response
-	 * @param previous notice of its previous response, whose limit stays in effect if the
+	 * @param previousLimit limit of its previous response, which stays in effect if the
 	 * new one is unreadable
 	 * @return the notice
 	 */
-	BackendNotice notice(BackendResponse response, BackendNotice previous) {
+	BackendNotice notice(BackendResponse response, RateLimit previousLimit) {
 		HttpHeaders headers = response.head().headers();
 		boolean leaving = LEAVING.equals(headers.get(this.headerNames.leaving()));
 		String limit = headers.get(this.headerNames.rateLimit());
@@ -86,7 +86,7 @@
 		}
 		catch (IllegalArgumentException ex) {
 			logger.debugf("event=backend-limit-unreadable value=\"%s\"", limit);
-			return new BackendNotice(previous.rateLimit(), leaving);
+			return new BackendNotice(previousLimit, leaving);
 		}
 	}
 
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Call.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Call.java
@@ -1,5 +1,10 @@
 package org.wasabicart.mesh;
 
+import java.util.Objects;
+import java.util.Optional;
+
+import org.wasabicart.core.mesh.RateLimit;
+
 /**
  * A call to a backend server.
  *
@@ -15,18 +20,26 @@
  * @param priority priority of the route; 0 is the highest
  * @param latestStart latest time in nanoseconds until which the call may wait for a slot
  * @param route name of the route
+ * @param knownRateLimit rate limit of the server that the sender has learned last, or
+ * empty if it knows none
  */
 record Call(String requestId, String method, String target, HeaderBlock headers, byte[] body, long deadline,
-		String instance, String callerService, boolean idempotent, int priority, long latestStart, String route) {
+		String instance, String callerService, boolean idempotent, int priority, long latestStart, String route,
+		Optional<RateLimit> knownRateLimit) {
+
+	Call {
+		Objects.requireNonNull(knownRateLimit, "knownRateLimit");
+	}
 
 	/**
-	 * Returns a copy of this call for the given incarnation of a server.
+	 * Returns a copy of this call for a server.
 	 * @param expected incarnation that may run the call
+	 * @param rateLimit rate limit of the server as known to this node
 	 * @return the call
 	 */
-	Call withInstance(String expected) {
+	Call forServer(String expected, Optional<RateLimit> rateLimit) {
 		return new Call(this.requestId, this.method, this.target, this.headers, this.body, this.deadline, expected,
-				this.callerService, this.idempotent, this.priority, this.latestStart, this.route);
+				this.callerService, this.idempotent, this.priority, this.latestStart, this.route, rateLimit);
 	}
 
 }
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallMessages.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallMessages.java
@@ -1,5 +1,6 @@
 package org.wasabicart.mesh;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.UnsafeByteOperations;
@@ -7,6 +8,7 @@
 import org.wasabicart.core.mesh.CallOrigin;
 import org.wasabicart.core.mesh.GateRefusal;
 import org.wasabicart.core.mesh.MemberLoadReport;
+import org.wasabicart.core.mesh.RateLimit;
 import org.wasabicart.wire.generated.mesh.MeshCall;
 import org.wasabicart.wire.generated.mesh.MeshFrame;
 import org.wasabicart.wire.generated.mesh.MeshLoad;
@@ -24,9 +26,10 @@
 	}
 
 	static MeshFrame toFrame(Call call, long stream, long now) {
+		MeshCall.Builder message = MeshCall.newBuilder();
+		call.knownRateLimit().ifPresent((limit) -> message.setRateLimit(limit.requestsPerSecond()));
 		return MeshFrame.newBuilder()
-			.setCall(MeshCall.newBuilder()
-				.setStream(stream)
+			.setCall(message.setStream(stream)
 				.setRequestId(call.requestId())
 				.setMethod(call.method())
 				.setTarget(call.target())
@@ -51,7 +54,8 @@
 				HeaderBlock.of(message.getHeaders()), message.getBody().toByteArray(),
 				now + TimeUnit.MILLISECONDS.toNanos(message.getRemainingMilliseconds()), message.getInstance(),
 				message.getCallerService(), message.getIdempotent(), message.getPriority(),
-				now + TimeUnit.MILLISECONDS.toNanos(message.getPatienceMilliseconds()), message.getRoute());
+				now + TimeUnit.MILLISECONDS.toNanos(message.getPatienceMilliseconds()), message.getRoute(),
+				message.hasRateLimit() ? toRateLimit(message.getRateLimit()) : Optional.empty());
 	}
 
 	static MeshFrame toFrame(CallResult result, long stream, MemberLoadReport load, CallOrigin origin) {
@@ -69,12 +73,31 @@
 			reply.setResult(MeshResult.FAILED).setReason(failed.reason());
 		}
 		if (load != null) {
-			reply.setLoad(
-					MeshLoad.newBuilder().setLimit(load.limit()).setRunning(load.running()).setWaiting(load.waiting()));
+			reply.setLoad(toMessage(load));
 		}
 		return MeshFrame.newBuilder().setReply(reply).build();
 	}
 
+	private static MeshLoad toMessage(MemberLoadReport load) {
+		MeshLoad.Builder message = MeshLoad.newBuilder()
+			.setLimit(load.limit())
+			.setRunning(load.running())
+			.setWaiting(load.waiting())
+			.setRequestRate(load.requestRate());
+		load.rateLimit().ifPresent((limit) -> message.setRateLimit(limit.requestsPerSecond()));
+		return message.build();
+	}
+
+	static MemberLoadReport toLoadReport(MeshLoad message) {
+		return new MemberLoadReport(Math.max(1, message.getLimit()), message.getRunning(), message.getWaiting(),
+				message.hasRateLimit() ? toRateLimit(message.getRateLimit()) : Optional.empty(),
+				message.getRequestRate());
+	}
+
+	private static Optional<RateLimit> toRateLimit(double requestsPerSecond) {
+		return (requestsPerSecond >= 0) ? Optional.of(new RateLimit(requestsPerSecond)) : Optional.empty();
+	}
+
 	private static MeshOrigin toMessage(CallOrigin origin) {
 		return switch (origin) {
 			case OUTSIDE -> MeshOrigin.OUTSIDE;
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ClientLink.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ClientLink.java
@@ -17,7 +17,6 @@
 import org.wasabicart.core.mesh.MemberLoadReport;
 import org.wasabicart.wire.generated.mesh.MeshCancel;
 import org.wasabicart.wire.generated.mesh.MeshFrame;
-import org.wasabicart.wire.generated.mesh.MeshLoad;
 import org.wasabicart.wire.generated.mesh.MeshPing;
 import org.wasabicart.wire.generated.mesh.MeshReply;
 
@@ -152,9 +151,7 @@
 
 	private void handleReply(MeshReply reply) {
 		if (reply.hasLoad()) {
-			MeshLoad load = reply.getLoad();
-			this.listener
-				.loadReported(new MemberLoadReport(Math.max(1, load.getLimit()), load.getRunning(), load.getWaiting()));
+			this.listener.loadReported(CallMessages.toLoadReport(reply.getLoad()));
 		}
 		Stream stream = this.streams.remove(reply.getStream());
 		if (stream != null) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRequestReader.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRequestReader.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -77,7 +78,8 @@
 		byte[] body = request.content().isReadable() ? ByteBufUtil.getBytes(request.content()) : NO_BODY;
 		return new Call(requestId(request), request.method().name(), request.uri(),
 				HeaderBlock.endToEnd(request.headers(), this.droppedHeaders), body, deadline, "", this.callerService,
-				route.idempotent(), route.priority(), Math.min(deadline, start + maximumWait), route.name());
+				route.idempotent(), route.priority(), Math.min(deadline, start + maximumWait), route.name(),
+				Optional.empty());
 	}
 
 	private long deadline(HttpHeaders headers, long now) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -44,6 +44,9 @@
 	/** Sends beyond the route's maximum attempts, since a refused send costs little. */
 	private static final int MAXIMUM_EXTRA_SENDS = 3;
 
+	/** Refusals for rate limits after which the request is not sent again. */
+	private static final int MAXIMUM_RATE_LIMIT_REFUSALS = 3;
+
 	/**
 	 * Refusals for overload after which the request is not sent again: the server chosen
 	 * first had the lowest load.
@@ -150,6 +153,8 @@
 
 		private int overloadRefusals;
 
+		private int rateLimitRefusals;
+
 		private boolean shedByServer;
 
 		private boolean admitted;
@@ -202,7 +207,8 @@
 			long now = System.nanoTime();
 			MemberStatus chosen = null;
 			if (this.sends < this.route.maximumAttempts() + MAXIMUM_EXTRA_SENDS
-					&& this.overloadRefusals < MAXIMUM_OVERLOAD_REFUSALS) {
+					&& this.overloadRefusals < MAXIMUM_OVERLOAD_REFUSALS
+					&& this.rateLimitRefusals < MAXIMUM_RATE_LIMIT_REFUSALS) {
 				chosen = choose(now);
 			}
 			if (chosen == null) {
@@ -212,7 +218,7 @@
 			this.member = chosen;
 			this.sends++;
 			this.usedNodes.add(chosen.member().node());
-			Call placed = this.call.withInstance(chosen.member().instance());
+			Call placed = this.call.forServer(chosen.member().instance(), chosen.rateLimit());
 			this.callHandle = null;
 			CallHandle sent = EntryRouter.this.destinations.send(chosen, placed, this::handleResult);
 			// A result during send may have started the next attempt and set its handle.
@@ -282,6 +288,7 @@
 				case WRONG_INSTANCE, DRAINING -> this.member.avoid(now + DRAINING_AVOIDANCE_NANOSECONDS);
 				case UNREACHABLE -> this.member.avoid(now + UNREACHABLE_AVOIDANCE_NANOSECONDS);
 				case OVERLOADED -> this.overloadRefusals++;
+				case RATE_LIMITED -> this.rateLimitRefusals++;
 				case SHED -> {
 					this.overloadRefusals++;
 					this.shedByServer = true;
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
@@ -9,14 +9,18 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.concurrent.Future;
 import org.jboss.logging.Logger;
 
 import org.wasabicart.core.mesh.CallOrigin;
 import org.wasabicart.core.mesh.CallOrigins;
 import org.wasabicart.core.mesh.GateEntry;
 import org.wasabicart.core.mesh.GateRefusal;
+import org.wasabicart.core.mesh.IncarnationRecord;
+import org.wasabicart.core.mesh.IncarnationRecords;
 import org.wasabicart.core.mesh.MemberLoadReport;
 import org.wasabicart.core.mesh.MeshMember;
+import org.wasabicart.core.mesh.RateLimit;
 import org.wasabicart.core.mesh.ServerState;
 import org.wasabicart.core.mesh.SlotGate;
 import org.wasabicart.core.model.NodeAddress;
@@ -63,16 +67,22 @@
 
 	private final BackendTrafficLog trafficLog;
 
+	private final IncarnationRecords incarnationRecords;
+
+	private final EventLoop eventLoop;
+
 	private final CallOrigins origins = new CallOrigins();
 
 	private final Set<PendingCall> running = new HashSet<>();
 
 	private BackendAnnouncement current;
 
-	private BackendNotice notice = BackendNotice.NONE;
+	private IncarnationRecord incarnationRecord;
 
 	private SlotGate gate;
 
+	private Future<?> admissionTimer;
+
 	private boolean deregistered;
 
 	private boolean stopping;
@@ -86,12 +96,14 @@
 	private long unreachableUntil;
 
 	LocalBackend(MeshSettings settings, HeaderNames headerNames, EventLoop eventLoop, Runnable changeListener,
-			IntSupplier knownServices, BackendTrafficLog trafficLog) {
+			IntSupplier knownServices, BackendTrafficLog trafficLog, IncarnationRecords incarnationRecords) {
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.messages = new BackendMessages(headerNames);
 		this.changeListener = Objects.requireNonNull(changeListener, "changeListener");
 		this.knownServices = Objects.requireNonNull(knownServices, "knownServices");
 		this.trafficLog = Objects.requireNonNull(trafficLog, "trafficLog");
+		this.incarnationRecords = Objects.requireNonNull(incarnationRecords, "incarnationRecords");
+		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
 		this.pool = new BackendPool(eventLoop, settings.backendAddress(), headerNames.requestId());
 	}
 
@@ -105,8 +117,7 @@
 					announcement.sequence());
 			return;
 		}
-		boolean restarted = this.current == null || !this.current.instance().equals(announcement.instance())
-				|| this.current.born() != announcement.born();
+		boolean restarted = this.current == null || !this.current.incarnation().equals(announcement.incarnation());
 		boolean changed = restarted || this.current.state() != announcement.state()
 				|| this.current.slots() != announcement.slots() || this.deregistered;
 		if (restarted) {
@@ -142,6 +153,7 @@
 			this.gate.refuseWaiting(GateRefusal.WRONG_INSTANCE);
 		}
 		this.gate = new SlotGate(announcement.slots());
+		this.incarnationRecord = this.incarnationRecords.get(announcement.incarnation());
 		this.pool.reset();
 		this.deregistered = false;
 		this.unreachable = false;
@@ -189,17 +201,18 @@
 		NodeAddress address = new NodeAddress(this.settings.linkAddress().getAddress().getHostAddress(),
 				this.settings.linkAddress().getPort());
 		return new MeshMember(this.settings.nodeId(), address, this.settings.failureDomain(), this.settings.region(),
-				this.current.service(), this.current.instance(), this.current.slots(),
+				this.current.service(), this.current.incarnation(), this.current.slots(),
 				this.draining ? ServerState.DRAINING : ServerState.READY);
 	}
 
 	/**
 	 * Returns the load of the server.
+	 * @param now current time in nanoseconds
 	 * @return the load, or null if the server is unknown
 	 */
-	MemberLoadReport load() {
-		return (this.gate == null) ? null
-				: new MemberLoadReport(this.gate.limit(), this.gate.running(), this.gate.waiting());
+	MemberLoadReport load(long now) {
+		return (this.gate == null) ? null : new MemberLoadReport(this.gate.limit(), this.gate.running(),
+				this.gate.waiting(), this.incarnationRecord.rateLimit(), this.gate.admittedPerSecond(now));
 	}
 
 	/**
@@ -233,11 +246,38 @@
 			pending.end(new CallResult.Refused(refusal, false));
 		}
 		else {
-			this.gate.offer(pending.gateEntry, System.nanoTime());
+			long now = System.nanoTime();
+			applyKnownRateLimit(call, now);
+			this.gate.offer(pending.gateEntry, now);
+			scheduleAdmission(now);
 		}
 		return pending::cancel;
 	}
 
+	// The limit is forgotten when the process of this node ends. The senders of calls
+	// remember it until the server names its limit in the first response.
+	private void applyKnownRateLimit(Call call, long now) {
+		if (this.incarnationRecord.rateLimit().isEmpty()) {
+			call.knownRateLimit()
+				.filter((limit) -> limit.requestsPerSecond() < this.gate.rateLimit().requestsPerSecond())
+				.ifPresent((limit) -> this.gate.rateLimit(limit, now));
+		}
+	}
+
+	private void scheduleAdmission(long now) {
+		long delay = this.gate.admissionDelay(now);
+		if (this.admissionTimer == null && delay < Long.MAX_VALUE) {
+			this.admissionTimer = this.eventLoop.schedule(this::admitWaiting, delay, TimeUnit.NANOSECONDS);
+		}
+	}
+
+	private void admitWaiting() {
+		this.admissionTimer = null;
+		long now = System.nanoTime();
+		this.gate.expire(now);
+		scheduleAdmission(now);
+	}
+
 	private long latestNestedStart(Call call) {
 		long now = System.nanoTime();
 		long serviceTime = (this.gate != null) ? this.gate.serviceTime() : 0;
@@ -281,9 +321,14 @@
 		}
 	}
 
-	private void handleNotice(BackendNotice stated) {
-		this.notice = stated;
-		this.trafficLog.noticed(this.current.instance(), stated);
+	private void handleNotice(PendingCall pending, BackendResponse response) {
+		BackendNotice notice = this.messages.notice(response,
+				pending.incarnationRecord.rateLimit().orElse(RateLimit.NONE));
+		pending.incarnationRecord.rateLimit(notice.rateLimit());
+		pending.assignedGate.rateLimit(notice.rateLimit(), System.nanoTime());
+		if (pending.assignedGate == this.gate) {
+			this.trafficLog.noticed(this.current.instance(), notice);
+		}
 	}
 
 	/**
@@ -300,6 +345,8 @@
 
 		private final SlotGate assignedGate;
 
+		private final IncarnationRecord incarnationRecord;
+
 		private BackendConnection connection;
 
 		private boolean admitted;
@@ -316,6 +363,7 @@
 			this.gateEntry = new GateEntry(call.priority(), nested ? latestNestedStart(call) : call.latestStart(),
 					this);
 			this.assignedGate = LocalBackend.this.gate;
+			this.incarnationRecord = LocalBackend.this.incarnationRecord;
 		}
 
 		@Override
@@ -360,7 +408,7 @@
 
 		@Override
 		public void answered(BackendResponse response) {
-			handleNotice(LocalBackend.this.messages.notice(response, LocalBackend.this.notice));
+			handleNotice(this, response);
 			end(LocalBackend.this.messages.result(response));
 		}
 
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MemberEntries.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MemberEntries.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 
+import org.wasabicart.core.mesh.BackendIncarnation;
 import org.wasabicart.core.mesh.MeshMember;
 import org.wasabicart.core.mesh.ServerState;
 import org.wasabicart.core.model.FailureDomain;
@@ -28,6 +29,7 @@
 			.setRegion(member.region().value())
 			.setService(member.service().value())
 			.setInstance(member.instance())
+			.setBorn(member.incarnation().born())
 			.setSlots(member.slots())
 			.setDraining(member.state() == ServerState.DRAINING)
 			.build();
@@ -42,8 +44,8 @@
 	static MeshMember toMember(MeshMemberEntry entry) {
 		return new MeshMember(new NodeId(entry.getNode()), new NodeAddress(entry.getHost(), entry.getPort()),
 				new FailureDomain(entry.getFailureDomain()), new RegionName(entry.getRegion()),
-				new ServiceName(entry.getService()), entry.getInstance(), entry.getSlots(),
-				entry.getDraining() ? ServerState.DRAINING : ServerState.READY);
+				new ServiceName(entry.getService()), new BackendIncarnation(entry.getInstance(), entry.getBorn()),
+				entry.getSlots(), entry.getDraining() ? ServerState.DRAINING : ServerState.READY);
 	}
 
 	static MeshMember toMember(byte[] value) throws InvalidProtocolBufferException {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -23,6 +23,7 @@
 
 import org.wasabicart.core.mesh.CallOrigin;
 import org.wasabicart.core.mesh.CallerLimits;
+import org.wasabicart.core.mesh.IncarnationRecords;
 import org.wasabicart.core.mesh.MeshConfiguration;
 import org.wasabicart.core.mesh.MeshMember;
 import org.wasabicart.core.mesh.Placement;
@@ -138,12 +139,13 @@
 		this.store = Objects.requireNonNull(store, "store");
 		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
+		IncarnationRecords incarnationRecords = new IncarnationRecords();
 		this.localBackend = new LocalBackend(settings, names, eventLoop, this::publishLocalServer, this::knownServices,
-				new BackendTrafficLog(metrics));
-		this.peers = new Peers(settings.nodeId(),
-				new PeerEnvironment(eventLoop, this::ownPing, this::handlePing, this::recordOrigin));
+				new BackendTrafficLog(metrics), incarnationRecords);
+		this.peers = new Peers(settings.nodeId(), new PeerEnvironment(eventLoop, this::ownPing, this::handlePing,
+				this::recordOrigin, incarnationRecords));
 		this.destinations = new Destinations(this.peers, this.localBackend,
-				new Placement(settings.failureDomain(), settings.region(), random));
+				new Placement(settings.failureDomain(), settings.region(), random), incarnationRecords);
 		this.limits = new EntryLimits(settings.repeats(), random);
 		this.router = new EntryRouter(new EntryRequestReader(names, settings.service().value()), eventLoop,
 				this.destinations, this.limits, metrics, new DecisionLog());
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
@@ -45,7 +45,7 @@
 	private long reconnectDelay = MINIMUM_RECONNECT_DELAY;
 
 	Peer(MeshMember member, PeerEnvironment environment) {
-		this.status = new MemberStatus(member);
+		this.status = new MemberStatus(member, environment.incarnationRecords());
 		this.environment = Objects.requireNonNull(environment, "environment");
 		this.status.reachable(false);
 		this.nextConnect = System.nanoTime();
@@ -136,7 +136,7 @@
 
 	@Override
 	public void loadReported(MemberLoadReport load) {
-		this.status.reported(load);
+		this.status.reported(load, System.nanoTime());
 	}
 
 	@Override
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/PeerEnvironment.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/PeerEnvironment.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 
 import org.wasabicart.core.mesh.CallOrigin;
+import org.wasabicart.core.mesh.IncarnationRecords;
 import org.wasabicart.wire.generated.mesh.MeshPing;
 
 /**
@@ -16,15 +17,17 @@
  * @param ownPing provides a ping with the state of this node
  * @param pingListener receives the pings of other nodes
  * @param originListener receives the reported origins of calls
+ * @param incarnationRecords what is known about the incarnations of servers
  */
 record PeerEnvironment(EventLoop eventLoop, Supplier<MeshPing> ownPing, Consumer<MeshPing> pingListener,
-		OriginListener originListener) {
+		OriginListener originListener, IncarnationRecords incarnationRecords) {
 
 	PeerEnvironment {
 		Objects.requireNonNull(eventLoop, "eventLoop");
 		Objects.requireNonNull(ownPing, "ownPing");
 		Objects.requireNonNull(pingListener, "pingListener");
 		Objects.requireNonNull(originListener, "originListener");
+		Objects.requireNonNull(incarnationRecords, "incarnationRecords");
 	}
 
 	/**
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ServerLink.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ServerLink.java
@@ -66,7 +66,8 @@
 		CallHandle handle = this.backend.handle(CallMessages.toCall(message, System.nanoTime()), (result) -> {
 			ended[0] = true;
 			this.calls.remove(stream);
-			write(CallMessages.toFrame(result, stream, this.backend.load(), this.backend.origin(message.getRoute())));
+			write(CallMessages.toFrame(result, stream, this.backend.load(System.nanoTime()),
+					this.backend.origin(message.getRoute())));
 		});
 		if (!ended[0]) {
 			this.calls.put(stream, handle);
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendNoticeTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendNoticeTests.java
@@ -1,7 +1,12 @@
 package org.wasabicart.mesh;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -23,6 +28,8 @@
 	/** Time after a notice from which it must be followed. */
 	private static final long REACTION_TIME = TimeUnit.MILLISECONDS.toNanos(500);
 
+	private static final int CALLERS = 20;
+
 	private TestFleet fleet;
 
 	@BeforeEach
@@ -36,24 +43,42 @@
 	}
 
 	/**
-	 * Sends requests to the server of node 1 from the other nodes in turn.
+	 * Sends requests to the server of node 1 from several callers of the other nodes.
 	 */
 	private void sendRequests(String prefix, long milliseconds) throws Exception {
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(milliseconds);
-		try (TestCaller first = new TestCaller(this.fleet.entryAddresses.get(0));
-				TestCaller second = new TestCaller(this.fleet.entryAddresses.get(2))) {
-			for (int i = 0; System.nanoTime() < end; i++) {
-				TestCaller caller = (i % 2 == 0) ? first : second;
+		List<Thread> callers = new ArrayList<>();
+		for (int i = 0; i < CALLERS; i++) {
+			InetSocketAddress entry = this.fleet.entryAddresses.get((i % 2 == 0) ? 0 : 2);
+			String callerPrefix = prefix + "-" + i + "-";
+			Thread caller = new Thread(() -> sendUntil(entry, callerPrefix, end));
+			caller.start();
+			callers.add(caller);
+		}
+		for (Thread caller : callers) {
+			caller.join();
+		}
+	}
+
+	private static void sendUntil(InetSocketAddress entry, String prefix, long end) {
+		try (TestCaller caller = new TestCaller(entry)) {
+			for (int i = 0; System.nanoTime() - end < 0; i++) {
 				caller.send("GET", "/b/x", prefix + i);
 				caller.receive();
-				TimeUnit.MILLISECONDS.sleep(4);
+				TimeUnit.MILLISECONDS.sleep(30);
 			}
 		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
-	private void nameLimit(String limit) throws Exception {
+	private void onServer(Consumer<TestBackend> change) throws Exception {
 		this.fleet.onBackends(() -> {
-			this.fleet.backends.get(1).nameLimit(limit);
+			change.accept(this.fleet.backends.get(1));
 			return null;
 		});
 	}
@@ -72,18 +97,40 @@
 
 	@Test
 	void serverThatNamesALimitGetsNoMoreRequestsThanItAllows() throws Exception {
-		nameLimit("10.0");
+		onServer((server) -> server.nameLimit("10.0"));
 		long from = System.nanoTime() + REACTION_TIME;
 		sendRequests("r", 5500);
 		assertThat(requestsInAnyWindow(from)).isBetween(20, 65);
 	}
 
 	@Test
-	void leavingServerGetsNoRequestAfterTheDrainTime() throws Exception {
-		this.fleet.onBackends(() -> {
-			this.fleet.backends.get(1).leave();
-			return null;
+	void limitHoldsAfterARestartOfTheNodeBesideTheServer() throws Exception {
+		onServer((server) -> {
+			server.nameLimit("1.0");
+			server.respondAfter(300);
 		});
+		sendRequests("before", 1500);
+		long from = System.nanoTime();
+		this.fleet.kill(1);
+		this.fleet.start(1);
+		sendRequests("after", 4500);
+		assertThat(requestsInAnyWindow(from)).isBetween(2, 11);
+	}
+
+	@Test
+	void requestsReturnToTheServerWhenItsLimitEnds() throws Exception {
+		onServer((server) -> server.nameLimit("0"));
+		sendRequests("limited", 1000);
+		onServer((server) -> server.nameLimit(null));
+		sendRequests("probe", 2500);
+		long from = System.nanoTime();
+		sendRequests("unlimited", 500);
+		assertThat(requestsInAnyWindow(from)).isGreaterThan(50);
+	}
+
+	@Test
+	void leavingServerGetsNoRequestAfterTheDrainTime() throws Exception {
+		onServer(TestBackend::leave);
 		sendRequests("first", 50);
 		TimeUnit.MILLISECONDS.sleep(600);
 		sendRequests("late", 200);
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -11,6 +12,7 @@
 
 import org.wasabicart.core.mesh.CallOrigin;
 import org.wasabicart.core.mesh.GateRefusal;
+import org.wasabicart.core.mesh.IncarnationRecords;
 import org.wasabicart.core.mesh.MemberLoadReport;
 import org.wasabicart.core.model.FailureDomain;
 import org.wasabicart.core.model.NodeId;
@@ -42,7 +44,7 @@
 		long now = System.nanoTime();
 		this.link.send(
 				new Call(id, "GET", "/", HeaderBlock.EMPTY, new byte[0], now + 1_000_000_000L, "i-1", "service",
-						idempotent, 0, now, "route"),
+						idempotent, 0, now, "route", Optional.empty()),
 				(result) -> this.events.add(id + " " + result.getClass().getSimpleName()));
 	}
 
@@ -53,7 +55,7 @@
 				new InetSocketAddress("127.0.0.1", 3), Duration.ofSeconds(2), Duration.ofSeconds(6),
 				new RepeatSettings(0.2));
 		LocalBackend backend = new LocalBackend(settings, TestHeaders.NAMES, this.channel.eventLoop(), () -> {
-		}, () -> 1, new BackendTrafficLog(new MeshMetrics()));
+		}, () -> 1, new BackendTrafficLog(new MeshMetrics()), new IncarnationRecords());
 		EmbeddedChannel server = new EmbeddedChannel(
 				new ServerLink(backend, () -> MeshPing.newBuilder().setAcknowledgement(true).build(), (ping) -> {
 				}));
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestBackend.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestBackend.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -40,6 +41,8 @@
 
 	private boolean leaving;
 
+	private long responseMilliseconds;
+
 	private final byte[] body;
 
 	TestBackend(EventLoop eventLoop, InetSocketAddress address, String instance, int bodyBytes) throws IOException {
@@ -76,6 +79,10 @@
 		this.rateLimit = requestsPerSecond;
 	}
 
+	void respondAfter(long milliseconds) {
+		this.responseMilliseconds = milliseconds;
+	}
+
 	void leave() {
 		this.leaving = true;
 	}
@@ -85,7 +92,7 @@
 		this.requestIds.add(id);
 		this.arrivals.add(System.nanoTime());
 		switch (this.behaviour) {
-			case ANSWER -> context.writeAndFlush(response(id, HttpResponseStatus.OK, true));
+			case ANSWER -> answer(context, id);
 			case SHED -> {
 				FullHttpResponse shed = response(id, HttpResponseStatus.SERVICE_UNAVAILABLE, false);
 				shed.headers().set("Not-Run", "1");
@@ -97,6 +104,17 @@
 		}
 	}
 
+	private void answer(ChannelHandlerContext context, String id) {
+		FullHttpResponse response = response(id, HttpResponseStatus.OK, true);
+		if (this.responseMilliseconds == 0) {
+			context.writeAndFlush(response);
+		}
+		else {
+			context.executor()
+				.schedule(() -> context.writeAndFlush(response), this.responseMilliseconds, TimeUnit.MILLISECONDS);
+		}
+	}
+
 	private FullHttpResponse response(String id, HttpResponseStatus status, boolean signed) {
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
 				Unpooled.wrappedBuffer(this.body));
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
@@ -12,6 +12,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 
+import org.wasabicart.core.mesh.BackendIncarnation;
 import org.wasabicart.core.mesh.CallerLimits;
 import org.wasabicart.core.mesh.MeshConfiguration;
 import org.wasabicart.core.mesh.MeshMember;
@@ -69,7 +70,8 @@
 			MeshSettings nodeSettings = this.settings.get(i);
 			MeshMember member = new MeshMember(nodeSettings.nodeId(),
 					new NodeAddress(HOST, nodeSettings.linkAddress().getPort()), nodeSettings.failureDomain(),
-					nodeSettings.region(), nodeSettings.service(), "i-" + i, 20, ServerState.READY);
+					nodeSettings.region(), nodeSettings.service(), new BackendIncarnation("i-" + i, 1), 20,
+					ServerState.READY);
 			String key = "members/" + nodeSettings.nodeId();
 			this.store.items.put(key,
 					new MeshStore.StoredItem(key, MemberEntries.toEntry(member).toByteArray(), i + 1));
