Send no new work to backend servers that say that they leave

A server that leaves says so in its responses, some before their heartbeats do. Requests were sent to it until the heartbeat arrived, and again if the node beside it restarted and then got a delayed heartbeat, or if the server deregistered while that node started.

Cause: leaving was a state of the node's process and of the member entry, and a node that stops for a restart looked the same as a server that leaves, so the next entry revoked it.

Change: leaving belongs to the incarnation of a server (id and start time) and is never revoked. It is learned from responses, heartbeats and deregistrations, travels with each reply and in the store entry, which stays after a deregistration, and each node remembers it apart from the members. A node that starts reads its earlier entry before it writes one.

A new incarnation under the same id gets requests again.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberLoadReport.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberLoadReport.java
@@ -12,8 +12,10 @@
  * @param rateLimit rate up to which the server accepts calls, or empty if it has not
  * responded to this node yet
  * @param requestRate calls per second that the server gets
+ * @param leaving whether the server is leaving
  */
-public record MemberLoadReport(int limit, int running, int waiting, Optional<RateLimit> rateLimit, double requestRate) {
+public record MemberLoadReport(int limit, int running, int waiting, Optional<RateLimit> rateLimit, double requestRate,
+		boolean leaving) {
 
 	public MemberLoadReport {
 		Objects.requireNonNull(rateLimit, "rateLimit");
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberStatus.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberStatus.java
@@ -65,6 +65,9 @@
 		}
 		this.member = announced;
 		this.incarnationRecord = this.records.get(announced.incarnation());
+		if (announced.state() == ServerState.LEAVING) {
+			this.incarnationRecord.markLeaving();
+		}
 	}
 
 	/**
@@ -108,6 +111,9 @@
 		this.reportTime = now;
 		this.inFlightAtReport = this.inFlight;
 		load.rateLimit().ifPresent(this.incarnationRecord::rateLimit);
+		if (load.leaving()) {
+			this.incarnationRecord.markLeaving();
+		}
 	}
 
 	/**
@@ -152,7 +158,8 @@
 		if (this.avoided && now - this.avoidedUntil >= 0) {
 			this.avoided = false;
 		}
-		return this.reachable && !this.avoided && this.member.state() == ServerState.READY;
+		return this.reachable && !this.avoided && !this.incarnationRecord.leaving()
+				&& this.member.state() == ServerState.READY;
 	}
 
 	/**
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/ServerState.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/ServerState.java
@@ -8,7 +8,10 @@
 	/** Takes new work. */
 	READY,
 
-	/** Finishes its work and takes no new work. */
-	DRAINING
+	/** Takes no new work, since the node beside it stops; the server may return. */
+	DRAINING,
+
+	/** Is leaving: this incarnation takes no new work again. */
+	LEAVING
 
 }
--- a/wasabicart-core/src/test/java/org/wasabicart/core/mesh/PlacementTests.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/mesh/PlacementTests.java
@@ -39,7 +39,7 @@
 	}
 
 	private static MemberLoadReport report(int limit, int running, int waiting) {
-		return new MemberLoadReport(limit, running, waiting, Optional.of(RateLimit.NONE), running);
+		return new MemberLoadReport(limit, running, waiting, Optional.of(RateLimit.NONE), running, false);
 	}
 
 	private MemberStatus choose() {
@@ -69,7 +69,7 @@
 	}
 
 	private static MemberLoadReport limitedReport(double limit, double requestRate) {
-		return new MemberLoadReport(100, 10, 0, Optional.of(new RateLimit(limit)), requestRate);
+		return new MemberLoadReport(100, 10, 0, Optional.of(new RateLimit(limit)), requestRate, false);
 	}
 
 	@Test
@@ -97,12 +97,31 @@
 	@Test
 	void newIncarnationUnderTheSameIdHasNoRateLimit() {
 		this.localDomain.reported(limitedReport(20, 25), 0);
-		MeshMember member = this.localDomain.member();
-		this.localDomain.member(new MeshMember(member.node(), member.address(), member.failureDomain(), member.region(),
-				member.service(), new BackendIncarnation(member.instance(), 2), 100, ServerState.READY));
+		this.localDomain.member(copyOf(this.localDomain.member(), 2, ServerState.READY));
 		assertThat(this.localDomain.rateLimit()).isEmpty();
 	}
 
+	private static MeshMember copyOf(MeshMember member, long born, ServerState state) {
+		return new MeshMember(member.node(), member.address(), member.failureDomain(), member.region(),
+				member.service(), new BackendIncarnation(member.instance(), born), member.slots(), state);
+	}
+
+	@Test
+	void leavingServerIsNotUsedThoughItIsAnnouncedAsReadyAgain() {
+		MeshMember member = this.localDomain.member();
+		this.localDomain.member(copyOf(member, 1, ServerState.LEAVING));
+		this.localDomain.member(copyOf(member, 1, ServerState.READY));
+		assertThat(choose()).isSameAs(this.otherDomain);
+	}
+
+	@Test
+	void newIncarnationUnderTheIdOfALeavingServerIsUsed() {
+		this.localDomain.reported(new MemberLoadReport(100, 10, 0, Optional.empty(), 10, true), 0);
+		assertThat(choose()).isSameAs(this.otherDomain);
+		this.localDomain.member(copyOf(this.localDomain.member(), 2, ServerState.READY));
+		assertThat(choose()).isSameAs(this.localDomain);
+	}
+
 	@Test
 	void otherRegionIsNotUsedIfOnlyTheLocalRegionIsAllowed() {
 		this.localDomain.reachable(false);
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallMessages.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallMessages.java
@@ -83,7 +83,8 @@
 			.setLimit(load.limit())
 			.setRunning(load.running())
 			.setWaiting(load.waiting())
-			.setRequestRate(load.requestRate());
+			.setRequestRate(load.requestRate())
+			.setLeaving(load.leaving());
 		load.rateLimit().ifPresent((limit) -> message.setRateLimit(limit.requestsPerSecond()));
 		return message.build();
 	}
@@ -91,7 +92,7 @@
 	static MemberLoadReport toLoadReport(MeshLoad message) {
 		return new MemberLoadReport(Math.max(1, message.getLimit()), message.getRunning(), message.getWaiting(),
 				message.hasRateLimit() ? toRateLimit(message.getRateLimit()) : Optional.empty(),
-				message.getRequestRate());
+				message.getRequestRate(), message.getLeaving());
 	}
 
 	private static Optional<RateLimit> toRateLimit(double requestsPerSecond) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
@@ -83,7 +83,9 @@
 
 	private Future<?> admissionTimer;
 
-	private boolean deregistered;
+	private String departedInstance;
+
+	private long departureTime;
 
 	private boolean stopping;
 
@@ -117,29 +119,27 @@
 					announcement.sequence());
 			return;
 		}
-		boolean restarted = this.current == null || !this.current.incarnation().equals(announcement.incarnation());
-		boolean changed = restarted || this.current.state() != announcement.state()
-				|| this.current.slots() != announcement.slots() || this.deregistered;
-		if (restarted) {
+		MeshMember previous = member();
+		if (this.current == null || !this.current.incarnation().equals(announcement.incarnation())) {
 			startIncarnation(announcement);
 		}
-		else if (this.deregistered) {
-			// A deregistered server returns only as a new incarnation.
-			return;
-		}
 		this.current = announcement;
 		this.gate.slots(announcement.slots());
-		if (announcement.state() == ServerState.DRAINING) {
-			startDrain();
+		if (announcement.state() == ServerState.LEAVING || departedBeforeAnnouncement(announcement)) {
+			markLeaving();
 		}
-		if (changed) {
+		if (!member().equals(previous)) {
 			logger.infof("event=backend-announced instance=%s born=%d sequence=%d state=%s slots=%d",
-					announcement.instance(), announcement.born(), announcement.sequence(), announcement.state(),
+					announcement.instance(), announcement.born(), announcement.sequence(), member().state(),
 					announcement.slots());
 			this.changeListener.run();
 		}
 	}
 
+	private boolean departedBeforeAnnouncement(BackendAnnouncement announcement) {
+		return announcement.instance().equals(this.departedInstance) && announcement.born() <= this.departureTime;
+	}
+
 	private boolean isNewer(BackendAnnouncement announcement) {
 		if (announcement.born() != this.current.born()) {
 			return announcement.born() > this.current.born();
@@ -155,23 +155,45 @@
 		this.gate = new SlotGate(announcement.slots());
 		this.incarnationRecord = this.incarnationRecords.get(announcement.incarnation());
 		this.pool.reset();
-		this.deregistered = false;
 		this.unreachable = false;
-		this.draining = this.stopping;
+		this.draining = this.stopping || this.incarnationRecord.leaving();
+		this.drainAcceptEnd = System.nanoTime();
 	}
 
 	/**
-	 * Processes the deregistration of the server.
+	 * Processes the deregistration of a server. It may precede the first heartbeat that
+	 * this process gets from the server.
 	 * @param instance id of the server
+	 * @param wallClockMilliseconds current time in milliseconds since the epoch
+	 */
+	void handleDeregistration(String instance, long wallClockMilliseconds) {
+		logger.infof("event=backend-left instance=%s", instance);
+		this.departedInstance = instance;
+		this.departureTime = wallClockMilliseconds;
+		if (this.current != null && this.current.instance().equals(instance)) {
+			markLeaving();
+			this.changeListener.run();
+		}
+	}
+
+	/**
+	 * Restores what an earlier run of this process has published about the server.
+	 * @param stored entry of this node in the store
 	 */
-	void handleDeregistration(String instance) {
-		if (this.current == null || !this.current.instance().equals(instance) || this.deregistered) {
+	void restore(MeshMember stored) {
+		if (stored.state() != ServerState.LEAVING) {
 			return;
 		}
-		logger.infof("event=backend-left instance=%s", instance);
-		this.deregistered = true;
+		this.incarnationRecords.get(stored.incarnation()).markLeaving();
+		if (this.current != null && this.current.incarnation().equals(stored.incarnation())) {
+			markLeaving();
+			this.changeListener.run();
+		}
+	}
+
+	private void markLeaving() {
+		this.incarnationRecord.markLeaving();
 		startDrain();
-		this.changeListener.run();
 	}
 
 	/**
@@ -192,17 +214,23 @@
 
 	/**
 	 * Returns the description of the server that is published to other nodes.
-	 * @return the server, or null if it is unknown or has deregistered
+	 * @return the server, or null if it is unknown
 	 */
 	MeshMember member() {
-		if (this.current == null || this.deregistered) {
+		if (this.current == null) {
 			return null;
 		}
 		NodeAddress address = new NodeAddress(this.settings.linkAddress().getAddress().getHostAddress(),
 				this.settings.linkAddress().getPort());
 		return new MeshMember(this.settings.nodeId(), address, this.settings.failureDomain(), this.settings.region(),
-				this.current.service(), this.current.incarnation(), this.current.slots(),
-				this.draining ? ServerState.DRAINING : ServerState.READY);
+				this.current.service(), this.current.incarnation(), this.current.slots(), state());
+	}
+
+	private ServerState state() {
+		if (this.incarnationRecord.leaving()) {
+			return ServerState.LEAVING;
+		}
+		return this.stopping ? ServerState.DRAINING : ServerState.READY;
 	}
 
 	/**
@@ -211,8 +239,10 @@
 	 * @return the load, or null if the server is unknown
 	 */
 	MemberLoadReport load(long now) {
-		return (this.gate == null) ? null : new MemberLoadReport(this.gate.limit(), this.gate.running(),
-				this.gate.waiting(), this.incarnationRecord.rateLimit(), this.gate.admittedPerSecond(now));
+		return (this.gate == null) ? null
+				: new MemberLoadReport(this.gate.limit(), this.gate.running(), this.gate.waiting(),
+						this.incarnationRecord.rateLimit(), this.gate.admittedPerSecond(now),
+						this.incarnationRecord.leaving());
 	}
 
 	/**
@@ -326,8 +356,13 @@
 				pending.incarnationRecord.rateLimit().orElse(RateLimit.NONE));
 		pending.incarnationRecord.rateLimit(notice.rateLimit());
 		pending.assignedGate.rateLimit(notice.rateLimit(), System.nanoTime());
-		if (pending.assignedGate == this.gate) {
-			this.trafficLog.noticed(this.current.instance(), notice);
+		if (pending.assignedGate != this.gate) {
+			return;
+		}
+		this.trafficLog.noticed(this.current.instance(), notice);
+		if (notice.leaving() && !this.incarnationRecord.leaving()) {
+			markLeaving();
+			this.changeListener.run();
 		}
 	}
 
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MemberEntries.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MemberEntries.java
@@ -31,7 +31,8 @@
 			.setInstance(member.instance())
 			.setBorn(member.incarnation().born())
 			.setSlots(member.slots())
-			.setDraining(member.state() == ServerState.DRAINING)
+			.setDraining(member.state() != ServerState.READY)
+			.setLeaving(member.state() == ServerState.LEAVING)
 			.build();
 	}
 
@@ -45,7 +46,14 @@
 		return new MeshMember(new NodeId(entry.getNode()), new NodeAddress(entry.getHost(), entry.getPort()),
 				new FailureDomain(entry.getFailureDomain()), new RegionName(entry.getRegion()),
 				new ServiceName(entry.getService()), new BackendIncarnation(entry.getInstance(), entry.getBorn()),
-				entry.getSlots(), entry.getDraining() ? ServerState.DRAINING : ServerState.READY);
+				entry.getSlots(), state(entry));
+	}
+
+	private static ServerState state(MeshMemberEntry entry) {
+		if (entry.getLeaving()) {
+			return ServerState.LEAVING;
+		}
+		return entry.getDraining() ? ServerState.DRAINING : ServerState.READY;
 	}
 
 	static MeshMember toMember(byte[] value) throws InvalidProtocolBufferException {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -212,7 +212,7 @@
 	 * @param instance id of the server
 	 */
 	public void handleDeregistration(String instance) {
-		this.localBackend.handleDeregistration(instance);
+		this.localBackend.handleDeregistration(instance, System.currentTimeMillis());
 	}
 
 	/**
@@ -242,7 +242,12 @@
 	private void publishLocalServer() {
 		MeshMember member = this.localBackend.member();
 		this.destinations.localMember(member);
-		this.entryPublisher.publish((member != null) ? MemberEntries.toEntry(member).toByteArray() : null);
+		// Before the list is read, the store may still hold the entry of an earlier run
+		// of
+		// this process, which says whether the server is leaving.
+		if (this.membersListed) {
+			this.entryPublisher.publish((member != null) ? MemberEntries.toEntry(member).toByteArray() : null);
+		}
 	}
 
 	private MeshPing ownPing() {
@@ -295,11 +300,17 @@
 			MeshMember member = decodeMember(item);
 			if (member != null) {
 				members.add(member);
-				ownEntryFound |= member.node().equals(this.settings.nodeId());
+				if (member.node().equals(this.settings.nodeId())) {
+					ownEntryFound = true;
+					this.localBackend.restore(member);
+				}
 			}
 		}
 		this.peers.updateMembers(members);
-		this.membersListed = true;
+		if (!this.membersListed) {
+			this.membersListed = true;
+			publishLocalServer();
+		}
 		if (!ownEntryFound) {
 			this.entryPublisher.entryMissing();
 		}
@@ -320,9 +331,7 @@
 
 	private void removeMember(String name) {
 		if (name.equals(this.settings.nodeId().value())) {
-			if (this.localBackend.member() != null) {
-				this.entryPublisher.entryMissing();
-			}
+			this.entryPublisher.entryMissing();
 			return;
 		}
 		try {
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendNoticeTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendNoticeTests.java
@@ -13,6 +13,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
+import org.wasabicart.core.mesh.ServerState;
+import org.wasabicart.core.model.ServiceName;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -128,14 +131,71 @@
 		assertThat(requestsInAnyWindow(from)).isGreaterThan(50);
 	}
 
+	private void assertNoRequests(String prefix) throws Exception {
+		List<String> requests = this.fleet.onBackends(() -> List.copyOf(this.fleet.backends.get(1).requestIds));
+		assertThat(requests).isNotEmpty().noneMatch((id) -> id.startsWith(prefix));
+	}
+
+	@Test
+	void serverThatHasLeftStaysUnusedAfterARestartOfTheNodeBesideIt() throws Exception {
+		onServer(TestBackend::leave);
+		sendRequests("first", 100);
+		onServer(TestBackend::stay);
+		this.fleet.kill(1);
+		this.fleet.start(1);
+		TimeUnit.MILLISECONDS.sleep(600);
+		sendRequests("late", 300);
+		assertNoRequests("late");
+	}
+
+	@Test
+	void serverThatHasLeftStaysUnusedAfterARestartOfAllNodes() throws Exception {
+		onServer(TestBackend::leave);
+		sendRequests("first", 100);
+		onServer(TestBackend::stay);
+		for (int i = 0; i < 3; i++) {
+			this.fleet.kill(i);
+		}
+		for (int i = 0; i < 3; i++) {
+			this.fleet.start(i);
+		}
+		TimeUnit.MILLISECONDS.sleep(600);
+		sendRequests("late", 300);
+		assertNoRequests("late");
+	}
+
+	@Test
+	void serverThatDeregistersWhileItsNodeRestartsStaysUnused() throws Exception {
+		sendRequests("first", 100);
+		this.fleet.kill(1);
+		this.fleet.startWithoutHeartbeat(1);
+		this.fleet.deregister(1);
+		this.fleet.announce(1, 7, ServerState.READY);
+		TimeUnit.MILLISECONDS.sleep(600);
+		sendRequests("late", 300);
+		assertNoRequests("late");
+	}
+
+	@Test
+	void newIncarnationUnderTheIdOfAServerThatHasLeftIsUsed() throws Exception {
+		onServer(TestBackend::leave);
+		sendRequests("first", 100);
+		onServer(TestBackend::stay);
+		this.fleet.handleHeartbeat(1,
+				new BackendAnnouncement("i-1", 2, 1, new ServiceName("b"), 20, ServerState.READY));
+		TimeUnit.MILLISECONDS.sleep(800);
+		sendRequests("new", 100);
+		List<String> requests = this.fleet.onBackends(() -> List.copyOf(this.fleet.backends.get(1).requestIds));
+		assertThat(requests).anyMatch((id) -> id.startsWith("new"));
+	}
+
 	@Test
 	void leavingServerGetsNoRequestAfterTheDrainTime() throws Exception {
 		onServer(TestBackend::leave);
 		sendRequests("first", 50);
 		TimeUnit.MILLISECONDS.sleep(600);
 		sendRequests("late", 200);
-		List<String> requests = this.fleet.onBackends(() -> List.copyOf(this.fleet.backends.get(1).requestIds));
-		assertThat(requests).isNotEmpty().noneMatch((id) -> id.startsWith("late"));
+		assertNoRequests("late");
 	}
 
 }
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/FakeMeshStore.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/FakeMeshStore.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 /**
  * In-memory store with faults that a test enables. Several nodes may use it.
@@ -17,6 +18,10 @@
 
 	final List<CompletableFuture<StoredItems>> watches = new ArrayList<>();
 
+	/** Receives each change; deleted items have no value. */
+	private Consumer<StoredItem> changeListener = (item) -> {
+	};
+
 	boolean unavailable;
 
 	boolean loseNextWriteResponse;
@@ -27,6 +32,10 @@
 
 	private long nextLease = 100;
 
+	void onChange(Consumer<StoredItem> listener) {
+		this.changeListener = listener;
+	}
+
 	private <T> CompletableFuture<T> respond(String call, T value) {
 		this.calls.add(call);
 		return this.unavailable ? CompletableFuture.failedFuture(unknown()) : CompletableFuture.completedFuture(value);
@@ -76,6 +85,7 @@
 		else {
 			this.items.remove(key);
 		}
+		this.changeListener.accept(new StoredItem(key, value, this.revision));
 		if (this.loseNextWriteResponse) {
 			this.loseNextWriteResponse = false;
 			return CompletableFuture.failedFuture(unknown());
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MeshNodeTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MeshNodeTests.java
@@ -111,7 +111,7 @@
 
 	@Test
 	void drainingServerGetsNoCallAfterItsDrainTime() throws Exception {
-		this.fleet.announce(1, 2, ServerState.DRAINING);
+		this.fleet.announce(1, 2, ServerState.LEAVING);
 		TimeUnit.MILLISECONDS.sleep(500);
 		this.caller.send("GET", "/b/x", "1");
 		assertThat(this.caller.receive().status()).isEqualTo(503);
@@ -121,7 +121,7 @@
 	@Test
 	void lateHeartbeatOfAnEarlierIncarnationIsIgnored() throws Exception {
 		this.fleet.handleHeartbeat(1,
-				new BackendAnnouncement("i-old", 0, 9, new ServiceName("b"), 20, ServerState.DRAINING));
+				new BackendAnnouncement("i-old", 0, 9, new ServiceName("b"), 20, ServerState.LEAVING));
 		this.caller.send("GET", "/b/x", "1");
 		assertThat(this.caller.receive().status()).isEqualTo(200);
 	}
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestBackend.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestBackend.java
@@ -87,6 +87,10 @@
 		this.leaving = true;
 	}
 
+	void stay() {
+		this.leaving = false;
+	}
+
 	private void handle(ChannelHandlerContext context, FullHttpRequest request) {
 		String id = request.headers().get("Id");
 		this.requestIds.add(id);
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
@@ -1,12 +1,16 @@
 package org.wasabicart.mesh;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -40,6 +44,8 @@
 
 	private final List<MultiThreadIoEventLoopGroup> nodeGroups = new ArrayList<>();
 
+	private final List<NodeStore> nodeStores = new CopyOnWriteArrayList<>();
+
 	private final List<MeshSettings> settings = new ArrayList<>();
 
 	private final List<String> services;
@@ -58,6 +64,9 @@
 
 	TestFleet(List<String> services, int bodyBytes, Duration grace) throws Exception {
 		this.services = List.copyOf(services);
+		this.store.onChange((item) -> this.nodeStores.stream()
+			.filter(Objects::nonNull)
+			.forEach((nodeStore) -> nodeStore.changed(item)));
 		for (int i = 0; i < services.size(); i++) {
 			TestBackend backend = new TestBackend(this.backendGroup.next(), new InetSocketAddress(HOST, 0), "i-" + i,
 					bodyBytes);
@@ -81,6 +90,7 @@
 			this.entryAddresses.add(this.settings.get(i).entryAddress());
 			this.nodes.add(null);
 			this.nodeGroups.add(null);
+			this.nodeStores.add(null);
 			start(i);
 		}
 		// Time for the nodes to read the store and to connect to each other.
@@ -94,14 +104,27 @@
 	 * @throws Exception if the node cannot be started
 	 */
 	void start(int index) throws Exception {
+		startWithoutHeartbeat(index);
+		announce(index, 1, ServerState.READY);
+	}
+
+	void startWithoutHeartbeat(int index) throws Exception {
 		MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+		NodeStore nodeStore = new NodeStore(this.store, group.next());
+		this.nodeStores.set(index, nodeStore);
 		MeshNode node = new MeshNode(this.settings.get(index), TestHeaders.NAMES,
-				new StoreKeys("configuration", "members/"), (value) -> configuration(this.services), this.store,
+				new StoreKeys("configuration", "members/"), (value) -> configuration(this.services), nodeStore,
 				group.next(), new SplittableRandom(index), new MeshMetrics());
 		this.nodeGroups.set(index, group);
 		this.nodes.set(index, node);
 		node.start();
-		announce(index, 1, ServerState.READY);
+	}
+
+	void deregister(int index) throws Exception {
+		onNode(index, () -> {
+			this.nodes.get(index).handleDeregistration(this.backends.get(index).instance);
+			return null;
+		});
 	}
 
 	/**
@@ -110,6 +133,22 @@
 	 */
 	void kill(int index) {
 		this.nodeGroups.get(index).shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+		awaitUnused(this.settings.get(index).entryAddress());
+		awaitUnused(this.settings.get(index).linkAddress());
+	}
+
+	private static void awaitUnused(InetSocketAddress address) {
+		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+		while (System.nanoTime() - end < 0) {
+			try (ServerSocket socket = new ServerSocket()) {
+				socket.bind(address);
+				return;
+			}
+			catch (IOException ex) {
+				Thread.onSpinWait();
+			}
+		}
+		throw new IllegalStateException("Still in use: " + address);
 	}
 
 	void announce(int index, long sequence, ServerState state) throws Exception {
