--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -108,6 +108,8 @@
 
 	private final PrefixWatch configurationWatch;
 
+	private final List<Channel> listeners = new ArrayList<>();
+
 	private final Set<EntryConnection> callerConnections = new HashSet<>();
 
 	private long lastIdleCheck = System.nanoTime();
@@ -189,7 +191,14 @@
 		if (!bound.isSuccess()) {
 			throw new IOException("Cannot listen on " + address, bound.cause());
 		}
+		this.listeners.add(bound.channel());
+	}
 
+	/**
+	 * Stops listening, for tests that end a node without ending its process.
+	 */
+	void closeListeners() {
+		this.listeners.forEach((listener) -> listener.close().awaitUninterruptibly());
 	}
 
 	private void initializeEntryChannel(Channel channel) {
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
@@ -132,6 +132,7 @@
 	 * @param index number of the node
 	 */
 	void kill(int index) {
+		this.nodes.get(index).closeListeners();
 		this.nodeGroups.get(index).shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
 		awaitUnused(this.settings.get(index).entryAddress());
 		awaitUnused(this.settings.get(index).linkAddress());
