Use a link only after the other node has answered on it

While a node is suspended, the kernel of its VM accepts connections. A link that had been given up as silent was opened again within 100 ms and counted as usable, so calls went to the suspended node until the next silence was found 0.85 s later, again and again.

A new link now sends a ping, and its peer is reachable from the answer on.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ClientLink.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ClientLink.java
@@ -84,6 +84,15 @@
 		this.channel.writeAndFlush(frame, this.channel.voidPromise());
 	}
 
+	/**
+	 * Sends a ping on a new connection. The kernel of a VM accepts connections also while
+	 * its node is suspended, so only an answer shows that the node runs.
+	 */
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		sendPing(System.nanoTime());
+	}
+
 	/**
 	 * Sends a ping when one is due and checks that the other node responds.
 	 * @param now current time in nanoseconds
@@ -96,12 +105,16 @@
 		}
 		long pingDelay = this.streams.isEmpty() ? IDLE_PING_DELAY : PING_DELAY;
 		if (!this.pingOutstanding && sinceLastRead > pingDelay) {
-			this.pingOutstanding = true;
-			this.pingSent = now;
-			write(MeshFrame.newBuilder().setPing(this.ownPing.get().toBuilder().setAcknowledgement(false)).build());
+			sendPing(now);
 		}
 	}
 
+	private void sendPing(long now) {
+		this.pingOutstanding = true;
+		this.pingSent = now;
+		write(MeshFrame.newBuilder().setPing(this.ownPing.get().toBuilder().setAcknowledgement(false)).build());
+	}
+
 	// Fails idempotent calls, which can be retried on another node. The others stay open,
 	// since only the node of this link can return their results.
 	private void handleSilentLink() {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
@@ -63,14 +63,6 @@
 		}
 	}
 
-	/**
-	 * Returns whether the link is open and the other node responds.
-	 * @return whether the other node responds
-	 */
-	boolean responds() {
-		return this.link != null && this.status.reachable();
-	}
-
 	CallHandle send(Call call, CallListener listener) {
 		this.status.sent();
 		CallHandle handle = this.link.send(call, (result) -> {
@@ -116,8 +108,6 @@
 			else {
 				logger.infof("event=link-opened peer=%s address=%s", this.status.member().node(), address);
 				this.link = newLink;
-				this.status.reachable(true);
-				this.reconnectDelay = MINIMUM_RECONNECT_DELAY;
 			}
 		});
 	}
@@ -163,6 +153,7 @@
 			logger.infof("event=link-answers peer=%s", this.status.member().node());
 		}
 		this.status.reachable(true);
+		this.reconnectDelay = MINIMUM_RECONNECT_DELAY;
 	}
 
 	@Override
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.embedded.EmbeddedChannel;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 import org.wasabicart.core.mesh.CallOrigin;
@@ -40,6 +41,16 @@
 
 	private final EmbeddedChannel channel = new EmbeddedChannel(this.link);
 
+	@BeforeEach
+	void answerFirstPing() {
+		MeshFrame ping = this.channel.readOutbound();
+		assertThat(ping.hasPing()).isTrue();
+		this.channel
+			.writeInbound(MeshFrame.newBuilder().setPing(MeshPing.newBuilder().setAcknowledgement(true)).build());
+		assertThat(this.events).containsExactly("answering", "ping");
+		this.events.clear();
+	}
+
 	private void send(String id, boolean idempotent) {
 		long now = System.nanoTime();
 		this.link.send(
