Tell other nodes over links that a node stops

A node that stops announced this in the store only. While the store was away, other nodes learned it from refusals, tried again every second, and an order in transit when the process ended was lost with the link and answered 502, though it had not run.

The node now also reports on each link that it stops, and a node that hears this sends it no calls until its next process answers.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberStatus.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberStatus.java
@@ -27,6 +27,8 @@
 
 	private boolean reachable = true;
 
+	private boolean nodeStopping;
+
 	private long avoidedUntil;
 
 	private boolean avoided;
@@ -140,6 +142,14 @@
 		return this.reachable;
 	}
 
+	/**
+	 * Records whether the node beside the server is about to stop.
+	 * @param value whether it takes no new calls
+	 */
+	public void nodeStopping(boolean value) {
+		this.nodeStopping = value;
+	}
+
 	/**
 	 * Makes the server unusable until a time.
 	 * @param until time in nanoseconds
@@ -158,7 +168,7 @@
 		if (this.avoided && now - this.avoidedUntil >= 0) {
 			this.avoided = false;
 		}
-		return this.reachable && !this.avoided && !this.incarnationRecord.leaving()
+		return this.reachable && !this.nodeStopping && !this.avoided && !this.incarnationRecord.leaving()
 				&& this.member.state() == ServerState.READY;
 	}
 
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -110,6 +110,8 @@
 
 	private final List<Channel> listeners = new ArrayList<>();
 
+	private final Set<ServerLink> serverLinks = new HashSet<>();
+
 	private final Set<EntryConnection> callerConnections = new HashSet<>();
 
 	private long lastIdleCheck = System.nanoTime();
@@ -175,7 +177,7 @@
 				FrameCodec.addTo(channel.pipeline());
 				channel.pipeline()
 					.addLast(new ServerLink(MeshNode.this.localBackend, MeshNode.this::ownPing,
-							MeshNode.this::handlePing));
+							MeshNode.this::handlePing, MeshNode.this.serverLinks));
 			}
 		});
 		this.configurationWatch.start();
@@ -260,7 +262,7 @@
 	}
 
 	private MeshPing ownPing() {
-		MeshPing.Builder ping = MeshPing.newBuilder().setAcknowledgement(true);
+		MeshPing.Builder ping = MeshPing.newBuilder().setAcknowledgement(true).setStopping(this.stopping);
 		MeshConfiguration current = this.router.configuration();
 		if (current != null) {
 			ping.setConfigurationVersion(current.version());
@@ -387,6 +389,8 @@
 				this.stopping = true;
 				this.stopStart = System.nanoTime();
 				this.localBackend.stop();
+				// The store may be away, so the other nodes are also told directly.
+				List.copyOf(this.serverLinks).forEach(ServerLink::reportState);
 			}
 		}).awaitUninterruptibly();
 		while (!this.eventLoop.submit(this::advanceStop).awaitUninterruptibly().getNow()) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
@@ -136,6 +136,7 @@
 
 	@Override
 	public void pingReceived(MeshPing ping) {
+		this.status.nodeStopping(ping.getStopping());
 		this.environment.pingListener().accept(ping);
 	}
 
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ServerLink.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ServerLink.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -29,15 +30,26 @@
 
 	private final Consumer<MeshPing> pingListener;
 
+	private final Set<ServerLink> openLinks;
+
 	private final Map<Long, CallHandle> calls = new HashMap<>();
 
 	private Channel channel;
 
-	ServerLink(LocalBackend backend, Supplier<MeshPing> ownPing, Consumer<MeshPing> pingListener) {
+	/**
+	 * Creates a handler for one link.
+	 * @param backend runs the calls
+	 * @param ownPing provides a ping with the state of this node
+	 * @param pingListener receives the pings of the other node
+	 * @param openLinks open links, which contain this one while it is open
+	 */
+	ServerLink(LocalBackend backend, Supplier<MeshPing> ownPing, Consumer<MeshPing> pingListener,
+			Set<ServerLink> openLinks) {
 		super(MeshFrame.class);
 		this.backend = Objects.requireNonNull(backend, "backend");
 		this.ownPing = ownPing;
 		this.pingListener = pingListener;
+		this.openLinks = Objects.requireNonNull(openLinks, "openLinks");
 	}
 
 	@Override
@@ -53,13 +65,20 @@
 			case PING -> {
 				this.pingListener.accept(frame.getPing());
 				if (!frame.getPing().getAcknowledgement()) {
-					write(MeshFrame.newBuilder().setPing(this.ownPing.get()).build());
+					reportState();
 				}
 			}
 			default -> logger.debugf("event=frame-ignored content=%s", frame.getContentCase());
 		}
 	}
 
+	/**
+	 * Sends the state of this node to the other node.
+	 */
+	void reportState() {
+		write(MeshFrame.newBuilder().setPing(this.ownPing.get()).build());
+	}
+
 	private void handleCall(MeshCall message) {
 		long stream = message.getStream();
 		boolean[] ended = new boolean[1];
@@ -85,8 +104,14 @@
 		this.channel.writeAndFlush(frame, this.channel.voidPromise());
 	}
 
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		this.openLinks.add(this);
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
+		this.openLinks.remove(this);
 		List<CallHandle> open = List.copyOf(this.calls.values());
 		this.calls.clear();
 		open.forEach(CallHandle::cancel);
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -69,7 +70,7 @@
 		}, () -> 1, new BackendTrafficLog(new MeshMetrics()), new IncarnationRecords());
 		EmbeddedChannel server = new EmbeddedChannel(
 				new ServerLink(backend, () -> MeshPing.newBuilder().setAcknowledgement(true).build(), (ping) -> {
-				}));
+				}, new HashSet<>()));
 		this.link.tick(System.nanoTime() + TimeUnit.SECONDS.toNanos(3));
 		MeshFrame ping = this.channel.readOutbound();
 		server.writeInbound(ping);
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MeshNodeTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MeshNodeTests.java
@@ -143,6 +143,27 @@
 		}
 	}
 
+	/**
+	 * Guards against orders that are sent to a node just before its process ends, and are
+	 * lost with the link, because the store could not announce that it stops.
+	 */
+	@Test
+	void noOrderIsLostWhenANodeStopsWhileTheStoreIsAway() throws Exception {
+		this.fleet.store.unavailable = true;
+		Thread stop = new Thread(() -> {
+			this.fleet.nodes.get(1).close();
+			this.fleet.kill(1);
+		});
+		stop.start();
+		List<Integer> statuses = new ArrayList<>();
+		for (int i = 0; stop.isAlive(); i++) {
+			this.caller.send("POST", "/b/write/x", "order" + i);
+			statuses.add(this.caller.receive().status());
+			TimeUnit.MILLISECONDS.sleep(1);
+		}
+		assertThat(statuses).containsOnly(200, 503);
+	}
+
 	/**
 	 * Guards against a node that does not stop because callers keep sending requests, and
 	 * that is killed with requests in progress at the end of its grace period.
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/PeerTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/PeerTests.java
@@ -57,6 +57,21 @@
 		}
 	}
 
+	@Test
+	void nodeThatReportsThatItStopsGetsNoCallsUntilItsNextProcessAnswers() {
+		Peer peer = new Peer(member(new InetSocketAddress("127.0.0.1", 1)),
+				new PeerEnvironment(this.group.next(), MeshPing::getDefaultInstance, (ping) -> {
+				}, (route, origin) -> {
+				}, new IncarnationRecords()));
+		peer.linkAnswering();
+		peer.pingReceived(MeshPing.getDefaultInstance());
+		assertThat(peer.status().usable(System.nanoTime())).isTrue();
+		peer.pingReceived(MeshPing.newBuilder().setStopping(true).build());
+		assertThat(peer.status().usable(System.nanoTime())).isFalse();
+		peer.pingReceived(MeshPing.getDefaultInstance());
+		assertThat(peer.status().usable(System.nanoTime())).isTrue();
+	}
+
 	private static MeshMember member(InetSocketAddress address) {
 		return new MeshMember(new NodeId("n"), new NodeAddress(address.getHostString(), address.getPort()),
 				new FailureDomain("d"), new RegionName("r"), new ServiceName("s"), new BackendIncarnation("i", 1), 10,
