Count the time that a request waited while its node was paused

Deadlines travel as remaining time and start anew when a message is read. A call that waited in the kernel while the node beside the server was suspended therefore ran with its full deadline after the wake, also an order whose caller had been answered 504 meanwhile.

The node now detects a pause, by the monotonic clock when the process was stopped and by the wall clock when the VM was suspended, and subtracts it from the remaining time of what it reads in the next 100 ms. A call past its deadline is refused as not run (DELAYED), and the sender may use another server. For that time no link counts as silent, and the timeouts of missing store entries start again. A wall clock that is set forward looks like a pause and costs refusals for 100 ms.

LinkTests.callThatWaitedThroughAPauseUntilItsDeadlineDoesNotRun fails when the delay is ignored.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/GateRefusal.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/GateRefusal.java
@@ -14,6 +14,9 @@
 	/** The deadline has passed or is too close. */
 	EXPIRED,
 
+	/** The call waited while the node beside the server was paused, and is too old. */
+	DELAYED,
+
 	/** The server takes no new work. */
 	DRAINING,
 
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -65,6 +66,8 @@
 
 	private final DecisionLog decisions;
 
+	private final LongSupplier receiveDelay;
+
 	private final Map<String, WeightedRoundRobin> roundRobins = new HashMap<>();
 
 	private MeshConfiguration configuration;
@@ -73,14 +76,26 @@
 
 	private boolean refusingNewRequests;
 
+	/**
+	 * Creates a router.
+	 * @param reader converts requests to calls
+	 * @param eventLoop event loop of the node
+	 * @param destinations servers
+	 * @param limits limits for new work
+	 * @param metrics metrics
+	 * @param decisions log of decisions
+	 * @param receiveDelay returns the time in nanoseconds for which data that is read now
+	 * may have been buffered
+	 */
 	EntryRouter(EntryRequestReader reader, EventLoop eventLoop, Destinations destinations, EntryLimits limits,
-			MeshMetrics metrics, DecisionLog decisions) {
+			MeshMetrics metrics, DecisionLog decisions, LongSupplier receiveDelay) {
 		this.reader = Objects.requireNonNull(reader, "reader");
 		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
 		this.destinations = Objects.requireNonNull(destinations, "destinations");
 		this.limits = Objects.requireNonNull(limits, "limits");
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		this.decisions = Objects.requireNonNull(decisions, "decisions");
+		this.receiveDelay = Objects.requireNonNull(receiveDelay, "receiveDelay");
 	}
 
 	/**
@@ -196,7 +211,12 @@
 				return;
 			}
 			this.admitted = true;
-			this.call = EntryRouter.this.reader.toCall(request, this.route, this.start);
+			this.call = EntryRouter.this.reader.toCall(request, this.route,
+					this.start - EntryRouter.this.receiveDelay.getAsLong());
+			if (this.call.deadline() - this.start <= 0) {
+				refuse("expired");
+				return;
+			}
 			EntryRouter.this.limits.repeatBudget(this.service).earn();
 			long remaining = this.call.deadline() - System.nanoTime();
 			this.timer = EntryRouter.this.eventLoop.schedule(this::timeout, remaining, TimeUnit.NANOSECONDS);
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -26,6 +26,7 @@
 import org.wasabicart.core.mesh.IncarnationRecords;
 import org.wasabicart.core.mesh.MeshConfiguration;
 import org.wasabicart.core.mesh.MeshMember;
+import org.wasabicart.core.mesh.PauseDetector;
 import org.wasabicart.core.mesh.Placement;
 import org.wasabicart.core.model.NodeId;
 import org.wasabicart.wire.generated.mesh.MeshPing;
@@ -110,6 +111,8 @@
 
 	private final List<Channel> listeners = new ArrayList<>();
 
+	private final PauseDetector pauseDetector = new PauseDetector();
+
 	private final Set<ServerLink> serverLinks = new HashSet<>();
 
 	private final Set<EntryConnection> callerConnections = new HashSet<>();
@@ -152,7 +155,7 @@
 				new Placement(settings.failureDomain(), settings.region(), random), incarnationRecords);
 		this.limits = new EntryLimits(settings.repeats(), random);
 		this.router = new EntryRouter(new EntryRequestReader(names, settings.service().value()), eventLoop,
-				this.destinations, this.limits, metrics, new DecisionLog());
+				this.destinations, this.limits, metrics, new DecisionLog(), this::receiveDelay);
 		this.entryPublisher = new MemberEntryPublisher(store, eventLoop, storeKeys.memberPrefix() + settings.nodeId());
 		this.memberWatch = new PrefixWatch(store, eventLoop, storeKeys.memberPrefix(), MEMBER_BATCH_DELAY,
 				this::replaceMembers, this::applyMemberChanges);
@@ -177,7 +180,7 @@
 				FrameCodec.addTo(channel.pipeline());
 				channel.pipeline()
 					.addLast(new ServerLink(MeshNode.this.localBackend, MeshNode.this::ownPing,
-							MeshNode.this::handlePing, MeshNode.this.serverLinks));
+							MeshNode.this::handlePing, MeshNode.this.serverLinks, MeshNode.this::receiveDelay));
 			}
 		});
 		this.configurationWatch.start();
@@ -364,10 +367,24 @@
 		}
 	}
 
+	private long receiveDelay() {
+		long now = System.nanoTime();
+		if (this.pauseDetector.observe(now, System.currentTimeMillis())) {
+			logger.infof("event=pause-detected duration_ms=%d",
+					TimeUnit.NANOSECONDS.toMillis(this.pauseDetector.receiveDelay(now)));
+			this.peers.restartMissingTimeouts(now);
+		}
+		return this.pauseDetector.receiveDelay(now);
+	}
+
 	private void tick() {
 		long now = System.nanoTime();
 		this.localBackend.tick(now);
-		this.peers.tick(now, this.memberWatch.reachable());
+		// Right after a pause, replies and store entries that arrived meanwhile may not
+		// have been read yet, so no link is silent and no entry is missing.
+		if (receiveDelay() == 0) {
+			this.peers.tick(now, this.memberWatch.reachable());
+		}
 		if (now - this.lastIdleCheck > IDLE_CHECK_INTERVAL_NANOSECONDS) {
 			this.lastIdleCheck = now;
 			MeshConfiguration current = this.router.configuration();
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peers.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peers.java
@@ -92,6 +92,15 @@
 		this.peers.keySet().stream().filter((node) -> !present.contains(node)).toList().forEach(this::entryMissing);
 	}
 
+	/**
+	 * Restarts the timeouts of missing entries, since this node was paused and may not
+	 * have read that they have returned.
+	 * @param now current time in nanoseconds
+	 */
+	void restartMissingTimeouts(long now) {
+		this.missingSince.replaceAll((node, since) -> now);
+	}
+
 	private void rebuildServiceIndex() {
 		this.byService.clear();
 		this.peers.values()
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ServerLink.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ServerLink.java
@@ -5,7 +5,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import io.netty.channel.Channel;
@@ -13,6 +15,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import org.jboss.logging.Logger;
 
+import org.wasabicart.core.mesh.GateRefusal;
 import org.wasabicart.wire.generated.mesh.MeshCall;
 import org.wasabicart.wire.generated.mesh.MeshFrame;
 import org.wasabicart.wire.generated.mesh.MeshPing;
@@ -32,6 +35,8 @@
 
 	private final Set<ServerLink> openLinks;
 
+	private final LongSupplier receiveDelay;
+
 	private final Map<Long, CallHandle> calls = new HashMap<>();
 
 	private Channel channel;
@@ -42,14 +47,17 @@
 	 * @param ownPing provides a ping with the state of this node
 	 * @param pingListener receives the pings of the other node
 	 * @param openLinks open links, which contain this one while it is open
+	 * @param receiveDelay returns the time in nanoseconds for which data that is read now
+	 * may have been buffered
 	 */
 	ServerLink(LocalBackend backend, Supplier<MeshPing> ownPing, Consumer<MeshPing> pingListener,
-			Set<ServerLink> openLinks) {
+			Set<ServerLink> openLinks, LongSupplier receiveDelay) {
 		super(MeshFrame.class);
 		this.backend = Objects.requireNonNull(backend, "backend");
 		this.ownPing = ownPing;
 		this.pingListener = pingListener;
 		this.openLinks = Objects.requireNonNull(openLinks, "openLinks");
+		this.receiveDelay = Objects.requireNonNull(receiveDelay, "receiveDelay");
 	}
 
 	@Override
@@ -81,18 +89,32 @@
 
 	private void handleCall(MeshCall message) {
 		long stream = message.getStream();
+		long delay = this.receiveDelay.getAsLong();
+		long now = System.nanoTime();
+		Call call = CallMessages.toCall(message, now - delay);
+		if (delay > 0 && call.deadline() - now <= 0) {
+			// The sender may have stopped waiting. If not, it can use another server.
+			logger.infof("event=call-delayed request=%s delay_ms=%d", call.requestId(),
+					TimeUnit.NANOSECONDS.toMillis(delay));
+			reply(message, new CallResult.Refused(GateRefusal.DELAYED, false));
+			return;
+		}
 		boolean[] ended = new boolean[1];
-		CallHandle handle = this.backend.handle(CallMessages.toCall(message, System.nanoTime()), (result) -> {
+		CallHandle handle = this.backend.handle(call, (result) -> {
 			ended[0] = true;
 			this.calls.remove(stream);
-			write(CallMessages.toFrame(result, stream, this.backend.load(System.nanoTime()),
-					this.backend.origin(message.getRoute())));
+			reply(message, result);
 		});
 		if (!ended[0]) {
 			this.calls.put(stream, handle);
 		}
 	}
 
+	private void reply(MeshCall message, CallResult result) {
+		write(CallMessages.toFrame(result, message.getStream(), this.backend.load(System.nanoTime()),
+				this.backend.origin(message.getRoute())));
+	}
+
 	private void cancel(long stream) {
 		CallHandle handle = this.calls.remove(stream);
 		if (handle != null) {
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
@@ -16,6 +16,7 @@
 import org.wasabicart.core.mesh.GateRefusal;
 import org.wasabicart.core.mesh.IncarnationRecords;
 import org.wasabicart.core.mesh.MemberLoadReport;
+import org.wasabicart.core.mesh.ServerState;
 import org.wasabicart.core.model.FailureDomain;
 import org.wasabicart.core.model.NodeId;
 import org.wasabicart.core.model.RegionName;
@@ -60,17 +61,20 @@
 				(result) -> this.events.add(id + " " + result.getClass().getSimpleName()));
 	}
 
-	@Test
-	void pingIsAcknowledged() {
+	private LocalBackend localBackend() {
 		MeshSettings settings = new MeshSettings(new NodeId("n"), new FailureDomain("d"), new RegionName("r"),
 				new ServiceName("s"), new InetSocketAddress("127.0.0.1", 1), new InetSocketAddress("127.0.0.1", 2),
 				new InetSocketAddress("127.0.0.1", 3), Duration.ofSeconds(2), Duration.ofSeconds(6),
 				new RepeatSettings(0.2));
-		LocalBackend backend = new LocalBackend(settings, TestHeaders.NAMES, this.channel.eventLoop(), () -> {
+		return new LocalBackend(settings, TestHeaders.NAMES, this.channel.eventLoop(), () -> {
 		}, () -> 1, new BackendTrafficLog(new MeshMetrics()), new IncarnationRecords());
+	}
+
+	@Test
+	void pingIsAcknowledged() {
 		EmbeddedChannel server = new EmbeddedChannel(
-				new ServerLink(backend, () -> MeshPing.newBuilder().setAcknowledgement(true).build(), (ping) -> {
-				}, new HashSet<>()));
+				new ServerLink(localBackend(), () -> MeshPing.newBuilder().setAcknowledgement(true).build(), (ping) -> {
+				}, new HashSet<>(), () -> 0));
 		this.link.tick(System.nanoTime() + TimeUnit.SECONDS.toNanos(3));
 		MeshFrame ping = this.channel.readOutbound();
 		server.writeInbound(ping);
@@ -112,6 +116,24 @@
 		assertThat(CallMessages.toResult(reply)).isEqualTo(new CallResult.Refused(GateRefusal.UNREACHABLE, false));
 	}
 
+	/**
+	 * Guards against a call that waits in the kernel while its node is suspended, and
+	 * runs after its sender has reported a timeout.
+	 */
+	@Test
+	void callThatWaitedThroughAPauseUntilItsDeadlineDoesNotRun() {
+		LocalBackend backend = localBackend();
+		backend.handleHeartbeat(new BackendAnnouncement("i-1", 1, 1, new ServiceName("s"), 10, ServerState.READY));
+		EmbeddedChannel server = new EmbeddedChannel(new ServerLink(backend, MeshPing::getDefaultInstance, (ping) -> {
+		}, new HashSet<>(), () -> TimeUnit.SECONDS.toNanos(2)));
+		send("order", false);
+		MeshFrame call = this.channel.readOutbound();
+		server.writeInbound(call);
+		MeshFrame reply = server.readOutbound();
+		assertThat(CallMessages.toResult(reply.getReply()))
+			.isEqualTo(new CallResult.Refused(GateRefusal.DELAYED, false));
+	}
+
 	private final class RecordingListener implements ClientLink.Listener {
 
 		@Override
