Check that a response belongs to its call in the product's node

A server that sends a response twice, the second time on a connection that is in use again, made the next caller get an answer that was not its own: the connection pool assigns responses to requests by order.

--- a/wasabicart-node/src/main/java/org/wasabicart/node/http/BackendCall.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/http/BackendCall.java
@@ -176,7 +176,13 @@
 
 	private void responseReceived(ReceivedResponse received) {
 		int status = received.response().status().intValue();
-		if (isShed(received.response())) {
+		if (belongsToAnotherCall(received.response())) {
+			respond(isOrder() ? new Outcome.Unknown(FailureReason.INCOMPLETE_ANSWER)
+					: new Outcome.Failed(FailureReason.INCOMPLETE_ANSWER, this.runningContext.nestedFailed()),
+					List.of(), NO_BODY);
+			end(CallSample.Result.FAILED);
+		}
+		else if (isShed(received.response())) {
 			respond(new Outcome.Refused(RefusalReason.SHED, Duration.ofMillis(100)), List.of(), NO_BODY);
 			end(CallSample.Result.SHED);
 		}
@@ -191,6 +197,15 @@
 		}
 	}
 
+	// A server may send a response twice. The pool assigns the second one to the call
+	// that
+	// uses the connection next.
+	private boolean belongsToAnotherCall(HttpResponse response) {
+		return response.getHeader(HeaderNames.CONTEXT)
+			.filter((header) -> !header.value().strip().equals(this.runningContext.handle()))
+			.isPresent();
+	}
+
 	private static boolean isShed(HttpResponse response) {
 		return response.status().intValue() == 503 && response.getHeader(HeaderNames.SHED)
 			.filter((header) -> header.value().strip().equals("not-run"))
--- a/wasabicart-node/src/test/java/org/wasabicart/node/RunningNode.java
+++ b/wasabicart-node/src/test/java/org/wasabicart/node/RunningNode.java
@@ -132,7 +132,11 @@
 	 * @throws Exception if the announcement fails
 	 */
 	RunningNode announce() throws Exception {
-		String json = "{\"service\":\"stores\",\"address\":\"127.0.0.1:" + this.backend.getAddress().getPort()
+		return announce(this.backend.getAddress().getPort());
+	}
+
+	RunningNode announce(int backendPort) throws Exception {
+		String json = "{\"service\":\"stores\",\"address\":\"127.0.0.1:" + backendPort
 				+ "\",\"slots\":4,\"connections\":16,\"state\":\"serving\"}";
 		HttpResponse<String> response = send(HttpRequest.newBuilder(localUri("/wasabicart/announcement"))
 			.PUT(HttpRequest.BodyPublishers.ofString(json)));
