Let only signed responses end a rate limit

A response without the field ended the limit, also a refusal that a server sends without its signature when it is full. Such a refusal would have let through as many calls as there are slots until the next answer.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendMessages.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendMessages.java
@@ -1,6 +1,7 @@
 package org.wasabicart.mesh;
 
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
@@ -68,25 +69,27 @@
 	}
 
 	/**
-	 * Returns what the server states about itself in a response.
+	 * Returns what the server states about itself in a response. A response that the
+	 * server did not sign, such as a refusal, does not end a limit.
 	 * @param response complete response
-	 * @param previousLimit limit of its previous response, which stays in effect if the
-	 * new one is unreadable
 	 * @return the notice
 	 */
-	BackendNotice notice(BackendResponse response, RateLimit previousLimit) {
+	BackendNotice notice(BackendResponse response) {
 		HttpHeaders headers = response.head().headers();
-		boolean leaving = LEAVING.equals(headers.get(this.headerNames.leaving()));
-		String limit = headers.get(this.headerNames.rateLimit());
-		if (limit == null) {
-			return leaving ? new BackendNotice(RateLimit.NONE, true) : BackendNotice.NONE;
+		return new BackendNotice(rateLimit(headers), LEAVING.equals(headers.get(this.headerNames.leaving())));
+	}
+
+	private Optional<RateLimit> rateLimit(HttpHeaders headers) {
+		String value = headers.get(this.headerNames.rateLimit());
+		if (value == null) {
+			return headers.contains(this.headerNames.signature()) ? Optional.of(RateLimit.NONE) : Optional.empty();
 		}
 		try {
-			return new BackendNotice(new RateLimit(Double.parseDouble(limit)), leaving);
+			return Optional.of(new RateLimit(Double.parseDouble(value)));
 		}
 		catch (IllegalArgumentException ex) {
-			logger.debugf("event=backend-limit-unreadable value=\"%s\"", limit);
-			return new BackendNotice(previousLimit, leaving);
+			logger.debugf("event=backend-limit-unreadable value=\"%s\"", value);
+			return Optional.empty();
 		}
 	}
 
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendTrafficLog.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendTrafficLog.java
@@ -5,6 +5,8 @@
 
 import org.jboss.logging.Logger;
 
+import org.wasabicart.core.mesh.RateLimit;
+
 /**
  * Records the requests that the local backend server gets and what it states about
  * itself. While it names a limit or is leaving, one line a second compares the two.
@@ -17,7 +19,9 @@
 
 	private final MeshMetrics metrics;
 
-	private BackendNotice notice = BackendNotice.NONE;
+	private RateLimit rateLimit = RateLimit.NONE;
+
+	private boolean leaving;
 
 	private long intervalStart = System.nanoTime();
 
@@ -27,7 +31,7 @@
 
 	BackendTrafficLog(MeshMetrics metrics) {
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
-		this.metrics.recordBackendNotice(this.notice);
+		this.metrics.recordBackendState(this.rateLimit, this.leaving);
 	}
 
 	void requestSent() {
@@ -42,16 +46,18 @@
 	/**
 	 * Logs what the server states about itself if it has changed.
 	 * @param instance id of the server
-	 * @param stated notice of its last response
+	 * @param statedLimit limit that is in effect
+	 * @param statedLeaving whether the server is leaving
 	 */
-	void noticed(String instance, BackendNotice stated) {
-		if (stated.equals(this.notice)) {
+	void noticed(String instance, RateLimit statedLimit, boolean statedLeaving) {
+		if (statedLimit.equals(this.rateLimit) && statedLeaving == this.leaving) {
 			return;
 		}
 		logger.infof("event=backend-notice instance=%s limit=%s leaving=%s previous_limit=%s", instance,
-				stated.rateLimit().requestsPerSecond(), stated.leaving(), this.notice.rateLimit().requestsPerSecond());
-		this.notice = stated;
-		this.metrics.recordBackendNotice(stated);
+				statedLimit.requestsPerSecond(), statedLeaving, this.rateLimit.requestsPerSecond());
+		this.rateLimit = statedLimit;
+		this.leaving = statedLeaving;
+		this.metrics.recordBackendState(statedLimit, statedLeaving);
 	}
 
 	/**
@@ -65,10 +71,10 @@
 		if (elapsed < INTERVAL_NANOSECONDS) {
 			return;
 		}
-		if (this.notice.rateLimit().limited() || this.notice.leaving()) {
+		if (this.rateLimit.limited() || this.leaving) {
 			logger.infof("event=backend-traffic instance=%s limit=%s leaving=%s sent=%d refused=%d elapsed_ms=%d",
-					instance, this.notice.rateLimit().requestsPerSecond(), this.notice.leaving(), this.sent,
-					this.refused, TimeUnit.NANOSECONDS.toMillis(elapsed));
+					instance, this.rateLimit.requestsPerSecond(), this.leaving, this.sent, this.refused,
+					TimeUnit.NANOSECONDS.toMillis(elapsed));
 		}
 		this.intervalStart = now;
 		this.sent = 0;
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
@@ -20,7 +20,6 @@
 import org.wasabicart.core.mesh.IncarnationRecords;
 import org.wasabicart.core.mesh.MemberLoadReport;
 import org.wasabicart.core.mesh.MeshMember;
-import org.wasabicart.core.mesh.RateLimit;
 import org.wasabicart.core.mesh.ServerState;
 import org.wasabicart.core.mesh.SlotGate;
 import org.wasabicart.core.model.NodeAddress;
@@ -352,14 +351,16 @@
 	}
 
 	private void handleNotice(PendingCall pending, BackendResponse response) {
-		BackendNotice notice = this.messages.notice(response,
-				pending.incarnationRecord.rateLimit().orElse(RateLimit.NONE));
-		pending.incarnationRecord.rateLimit(notice.rateLimit());
-		pending.assignedGate.rateLimit(notice.rateLimit(), System.nanoTime());
+		BackendNotice notice = this.messages.notice(response);
+		notice.rateLimit().ifPresent((limit) -> {
+			pending.incarnationRecord.rateLimit(limit);
+			pending.assignedGate.rateLimit(limit, System.nanoTime());
+		});
 		if (pending.assignedGate != this.gate) {
 			return;
 		}
-		this.trafficLog.noticed(this.current.instance(), notice);
+		this.trafficLog.noticed(this.current.instance(), this.gate.rateLimit(),
+				notice.leaving() || this.incarnationRecord.leaving());
 		if (notice.leaving() && !this.incarnationRecord.leaving()) {
 			markLeaving();
 			this.changeListener.run();
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshMetrics.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshMetrics.java
@@ -13,6 +13,8 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
+import org.wasabicart.core.mesh.RateLimit;
+
 /**
  * Metrics of the node in the Prometheus format.
  */
@@ -57,9 +59,9 @@
 		this.backendRequests.inc();
 	}
 
-	void recordBackendNotice(BackendNotice notice) {
-		this.backendRateLimit.set(notice.rateLimit().requestsPerSecond());
-		this.backendLeaving.set(notice.leaving() ? 1 : 0);
+	void recordBackendState(RateLimit rateLimit, boolean leaving) {
+		this.backendRateLimit.set(rateLimit.requestsPerSecond());
+		this.backendLeaving.set(leaving ? 1 : 0);
 	}
 
 	/**
