End responses of servers that never end

A server in trouble may send bytes without end. Tests feed endless status lines, header fields, bodies, chunks, chunk sizes, trailers, line breaks and informational responses to a connection. All but the last already closed it within bounds; informational responses were read until the deadline of the call. After 16 of them the connection is now closed (endlessInformationalResponsesFail failed before).

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendConnection.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -28,6 +29,9 @@
 	/** Maximum response size in bytes; responses are buffered in the memory of the VM. */
 	static final int MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
 
+	/** Informational responses to one request after which the connection is closed. */
+	private static final int MAXIMUM_INFORMATIONAL_RESPONSES = 16;
+
 	private final String requestIdHeader;
 
 	private final Consumer<BackendConnection> releaseListener;
@@ -46,6 +50,8 @@
 
 	private boolean responseSkipped;
 
+	private int informationalResponses;
+
 	private long idleSince;
 
 	private long serverIdleTimeout = -1;
@@ -72,6 +78,7 @@
 	void send(ByteBuf message, HttpMethod method, String requestId, Exchange.Listener listener) {
 		this.exchange = new Exchange(requestId, listener);
 		this.responseSkipped = false;
+		this.informationalResponses = 0;
 		this.decoder.expect(method);
 		this.channel.writeAndFlush(message);
 	}
@@ -131,8 +138,12 @@
 		}
 		if (message instanceof HttpResponse response) {
 			this.head = response;
+			if (isInformational(response) && ++this.informationalResponses > MAXIMUM_INFORMATIONAL_RESPONSES) {
+				fail("answer-without-end");
+				return;
+			}
 		}
-		if (this.head == null || this.head.status().code() < 200) {
+		if (this.head == null || isInformational(this.head)) {
 			return;
 		}
 		if (message instanceof HttpContent content && !append(content.content())) {
@@ -143,6 +154,10 @@
 		}
 	}
 
+	private static boolean isInformational(HttpResponse response) {
+		return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+	}
+
 	private boolean append(ByteBuf content) {
 		int size = content.readableBytes() + ((this.body != null) ? this.body.readableBytes() : 0);
 		if (size > MAXIMUM_BODY_BYTES) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -256,9 +256,8 @@
 	private void publishLocalServer() {
 		MeshMember member = this.localBackend.member();
 		this.destinations.localMember(member);
-		// Before the list is read, the store may still hold the entry of an earlier run
-		// of
-		// this process, which says whether the server is leaving.
+		// The entry of an earlier run of this process says whether the server is leaving,
+		// so it must be read first.
 		if (this.membersListed) {
 			this.entryPublisher.publish((member != null) ? MemberEntries.toEntry(member).toByteArray() : null);
 		}
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendConnectionTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendConnectionTests.java
@@ -16,6 +16,8 @@
  */
 class BackendConnectionTests {
 
+	private static final int PIECE_BYTES = 16 * 1024;
+
 	private final List<String> outcomes = new ArrayList<>();
 
 	private final BackendResponseDecoder decoder = new BackendResponseDecoder();
@@ -108,6 +110,67 @@
 		assertThat(this.outcomes).containsExactly("connection-reset");
 	}
 
+	private void assertEndlessResponseFails(String start, String repeated) {
+		send("a");
+		receive(start);
+		String piece = repeated.repeat(PIECE_BYTES / repeated.length());
+		long received = 0;
+		while (this.channel.isActive() && received < 4L * BackendConnection.MAXIMUM_BODY_BYTES) {
+			receive(piece);
+			received += piece.length();
+		}
+		assertThat(this.channel.isActive()).isFalse();
+		assertThat(received).isLessThan(2L * BackendConnection.MAXIMUM_BODY_BYTES);
+		assertThat(this.outcomes).hasSize(1).noneMatch((outcome) -> outcome.startsWith("200"));
+	}
+
+	@Test
+	void endlessStatusLineFails() {
+		assertEndlessResponseFails("HTTP/1.1 200 ", "x");
+	}
+
+	@Test
+	void endlessHeaderFieldFails() {
+		assertEndlessResponseFails("HTTP/1.1 200 OK\r\nId: ", "x");
+	}
+
+	@Test
+	void endlessHeaderFieldsFail() {
+		assertEndlessResponseFails("HTTP/1.1 200 OK\r\n", "Name: value\r\n");
+	}
+
+	@Test
+	void endlessBodyWithoutLengthFails() {
+		assertEndlessResponseFails("HTTP/1.1 200 OK\r\nId: a\r\n\r\n", "x");
+	}
+
+	@Test
+	void endlessChunksFail() {
+		assertEndlessResponseFails("HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+				"40\r\n" + "x".repeat(64) + "\r\n");
+	}
+
+	@Test
+	void endlessChunkSizeFails() {
+		assertEndlessResponseFails("HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", "0");
+	}
+
+	@Test
+	void endlessTrailersFail() {
+		assertEndlessResponseFails("HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+				"Name: value\r\n");
+	}
+
+	@Test
+	void endlessInformationalResponsesFail() {
+		assertEndlessResponseFails("", "HTTP/1.1 100 Continue\r\n\r\n");
+	}
+
+	@Test
+	void endlessLineBreaksFail() {
+		assertEndlessResponseFails("", "\r\n");
+	}
+
 	@Test
 	void responseThatIsNotHttpFails() {
 		send("a");
