--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
@@ -190,6 +190,8 @@
 		}
 	}
 
+	// Calls that other nodes sent before they learned of it are accepted for a short
+	// time.
 	private void markLeaving() {
 		this.incarnationRecord.markLeaving();
 		startDrain();
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -405,7 +405,8 @@
 				this.stopping = true;
 				this.stopStart = System.nanoTime();
 				this.localBackend.stop();
-				// The store may be away, so the other nodes are also told directly.
+				// The store may be away, so the other nodes are notified directly as
+				// well.
 				List.copyOf(this.serverLinks).forEach(ServerLink::reportState);
 			}
 		}).awaitUninterruptibly();
