Report the era of the store in logs and metrics

Incident: after the store returned from an older copy, an acknowledged change of the configuration was never in force (docs/incidents/restored-store.md has the timeline and three hypotheses). The logs could not tell the hypotheses apart.

Change: results of the store carry positions and leases with the era that the store states in Store-Era. New lines: store-era, watch-continued-in-other-era, lease-renewed-in-other-era, entry-written, configuration-older; store-reached, store-history-lost and configuration-in-force state the era; metrics wasabicart_store_era and wasabicart_configuration_version. No decision changes. The fake store of the tests keeps a history and can return from an older copy.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MemberEntryPublisher.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MemberEntryPublisher.java
@@ -36,9 +36,9 @@
 
 	private byte[] writtenValue;
 
-	private long revision;
+	private StorePosition position = new StorePosition(StoreEra.UNSTATED, 0);
 
-	private long lease;
+	private StoreLease lease;
 
 	private boolean callInProgress;
 
@@ -71,26 +71,30 @@
 		if (!this.callInProgress && this.writtenValue != null) {
 			this.writtenValue = null;
 			this.storedEntryUnknown = true;
-			this.lease = 0;
+			this.lease = null;
 			reconcile();
 		}
 	}
 
 	private void renew() {
-		if (this.lease == 0 || this.callInProgress) {
+		if (this.lease == null || this.callInProgress) {
 			reconcile();
 			return;
 		}
-		long renewed = this.lease;
+		StoreLease renewed = this.lease;
 		this.store.renewLease(renewed).whenComplete((result, failure) -> {
 			if (failure instanceof MeshStoreException ex && ex.kind() == MeshStoreException.Kind.LEASE_ENDED
-					&& this.lease == renewed) {
+					&& renewed.equals(this.lease)) {
 				logger.infof("event=entry-lapsed key=%s", this.key);
-				this.lease = 0;
+				this.lease = null;
 				this.writtenValue = null;
 				this.storedEntryUnknown = true;
 				reconcile();
 			}
+			else if (failure == null && !result.equals(renewed.era())) {
+				logger.warnf("event=lease-renewed-in-other-era key=%s lease=%d era=%s store_era=%s", this.key,
+						renewed.id(), renewed.era(), result);
+			}
 			else if (failure != null) {
 				logger.debugf("event=lease-not-renewed reason=\"%s\"", failure.getMessage());
 				this.eventLoop.schedule(this::renew, RETRY_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS);
@@ -106,19 +110,21 @@
 		if (this.storedEntryUnknown) {
 			this.store.get(this.key).whenComplete((item, failure) -> handleResult(failure, () -> {
 				this.storedEntryUnknown = false;
-				this.revision = item.revision();
+				this.position = item.position();
 				this.writtenValue = null;
 			}));
 		}
-		else if (this.lease == 0) {
+		else if (this.lease == null) {
 			this.store.grantLease(LEASE_TIME_TO_LIVE)
 				.whenComplete((granted, failure) -> handleResult(failure, () -> this.lease = granted));
 		}
 		else {
 			byte[] value = this.desiredValue;
-			this.store.write(this.key, this.revision, value, this.lease)
+			this.store.write(this.key, this.position, value, this.lease)
 				.whenComplete((changed, failure) -> handleResult(failure, () -> {
-					this.revision = (value != null) ? changed : 0;
+					logger.infof("event=entry-written key=%s revision=%d era=%s lease=%d", this.key, changed.revision(),
+							changed.era(), this.lease.id());
+					this.position = (value != null) ? changed : new StorePosition(changed.era(), 0);
 					this.writtenValue = value;
 				}));
 		}
@@ -135,7 +141,7 @@
 		MeshStoreException.Kind kind = (failure instanceof MeshStoreException ex) ? ex.kind()
 				: MeshStoreException.Kind.UNKNOWN;
 		switch (kind) {
-			case LEASE_ENDED -> this.lease = 0;
+			case LEASE_ENDED -> this.lease = null;
 			case CONFLICT, UNKNOWN -> this.storedEntryUnknown = true;
 			default -> {
 			}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshMetrics.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshMetrics.java
@@ -47,6 +47,16 @@
 		.help("1 if the local backend server is leaving, otherwise 0")
 		.register(this.registry);
 
+	private final Gauge storeEra = Gauge.builder()
+		.name("wasabicart_store_era")
+		.help("Latest era of the store; it rises when the store returns from an older copy")
+		.register(this.registry);
+
+	private final Gauge configurationVersion = Gauge.builder()
+		.name("wasabicart_configuration_version")
+		.help("Version of the configuration in force")
+		.register(this.registry);
+
 	private final Map<String, Map<String, DistributionDataPoint>> dataPoints = new HashMap<>();
 
 	void observeRequest(String route, String outcome, long nanoseconds) {
@@ -64,6 +74,14 @@
 		this.backendLeaving.set(leaving ? 1 : 0);
 	}
 
+	void recordStoreEra(long number) {
+		this.storeEra.set(number);
+	}
+
+	void recordConfigurationVersion(long version) {
+		this.configurationVersion.set(version);
+	}
+
 	/**
 	 * Returns all metrics in the Prometheus text format.
 	 * @return the text
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -143,7 +143,7 @@
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.storeKeys = Objects.requireNonNull(storeKeys, "storeKeys");
 		this.decoder = Objects.requireNonNull(decoder, "decoder");
-		this.store = Objects.requireNonNull(store, "store");
+		this.store = new EraTrackingStore(store, this::storeEraChanged);
 		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		IncarnationRecords incarnationRecords = new IncarnationRecords();
@@ -156,10 +156,11 @@
 		this.limits = new EntryLimits(settings.repeats(), random);
 		this.router = new EntryRouter(new EntryRequestReader(names, settings.service().value()), eventLoop,
 				this.destinations, this.limits, metrics, new DecisionLog(), this::receiveDelay);
-		this.entryPublisher = new MemberEntryPublisher(store, eventLoop, storeKeys.memberPrefix() + settings.nodeId());
-		this.memberWatch = new PrefixWatch(store, eventLoop, storeKeys.memberPrefix(), MEMBER_BATCH_DELAY,
+		this.entryPublisher = new MemberEntryPublisher(this.store, eventLoop,
+				storeKeys.memberPrefix() + settings.nodeId());
+		this.memberWatch = new PrefixWatch(this.store, eventLoop, storeKeys.memberPrefix(), MEMBER_BATCH_DELAY,
 				this::replaceMembers, this::applyMemberChanges);
-		this.configurationWatch = new PrefixWatch(store, eventLoop, storeKeys.configurationKey(),
+		this.configurationWatch = new PrefixWatch(this.store, eventLoop, storeKeys.configurationKey(),
 				CONFIGURATION_BATCH_DELAY, this::applyConfigurations, this::applyConfigurations);
 	}
 
@@ -286,6 +287,11 @@
 		}
 	}
 
+	private void storeEraChanged(StoreEra era) {
+		logger.infof("event=store-era era=%s", era);
+		this.metrics.recordStoreEra(era.number());
+	}
+
 	private void applyConfigurations(MeshStore.StoredItems items) {
 		items.items().forEach(this::applyConfiguration);
 	}
@@ -297,12 +303,20 @@
 		try {
 			MeshConfiguration candidate = this.decoder.decode(item.value());
 			if (this.router.apply(candidate)) {
-				logger.infof("event=configuration-in-force version=%08x revision=%d routes=%d", candidate.version(),
-						item.revision(), candidate.routes().size());
+				logger.infof("event=configuration-in-force version=%08x revision=%d era=%s routes=%d",
+						candidate.version(), item.position().revision(), item.position().era(),
+						candidate.routes().size());
+				this.metrics.recordConfigurationVersion(candidate.version());
+			}
+			else if (Long.compareUnsigned(candidate.version(), this.router.configuration().version()) < 0) {
+				logger.infof("event=configuration-older version=%08x in_force=%08x revision=%d era=%s",
+						candidate.version(), this.router.configuration().version(), item.position().revision(),
+						item.position().era());
 			}
 		}
 		catch (ConfigurationUnreadableException ex) {
-			logger.warnf("event=configuration-unreadable revision=%d reason=\"%s\"", item.revision(), ex.getMessage());
+			logger.warnf("event=configuration-unreadable revision=%d reason=\"%s\"", item.position().revision(),
+					ex.getMessage());
 		}
 	}
 
@@ -360,8 +374,8 @@
 			return MemberEntries.toMember(item.value());
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
-			logger.warnf("event=entry-unreadable key=%s revision=%d reason=\"%s\"", item.key(), item.revision(),
-					ex.getMessage());
+			logger.warnf("event=entry-unreadable key=%s revision=%d reason=\"%s\"", item.key(),
+					item.position().revision(), ex.getMessage());
 			return null;
 		}
 	}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshStore.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshStore.java
@@ -13,68 +13,68 @@
 	/**
 	 * Reads one key.
 	 * @param key key
-	 * @return the item; its revision is 0 if the key is absent
+	 * @return the item; its value is null if the key is absent
 	 */
 	CompletableFuture<StoredItem> get(String key);
 
 	/**
 	 * Reads all keys with a prefix.
 	 * @param prefix prefix
-	 * @return the items and the revision after which a watch continues
+	 * @return the items and the position after which a watch continues
 	 */
 	CompletableFuture<StoredItems> list(String prefix);
 
 	/**
 	 * Waits for changes of keys with a prefix.
 	 * @param prefix prefix
-	 * @param after changes with a higher revision are returned
+	 * @param after position; later changes are returned
 	 * @param wait longest time to wait
 	 * @return the changed items; the value of a deleted key is null
 	 */
-	CompletableFuture<StoredItems> watch(String prefix, long after, Duration wait);
+	CompletableFuture<StoredItems> watch(String prefix, StorePosition after, Duration wait);
 
 	/**
-	 * Writes or deletes a key if it has the expected revision.
+	 * Writes or deletes a key if its last change has the expected revision.
 	 * @param key key
-	 * @param expected expected revision; 0 stands for an absent key
+	 * @param expected expected position of the item
 	 * @param value new value, or null to delete the key
-	 * @param lease id of the lease whose end deletes the key
-	 * @return the new revision
+	 * @param lease lease whose end deletes the key
+	 * @return the position of the change
 	 */
-	CompletableFuture<Long> write(String key, long expected, byte[] value, long lease);
+	CompletableFuture<StorePosition> write(String key, StorePosition expected, byte[] value, StoreLease lease);
 
 	/**
 	 * Grants a lease.
 	 * @param timeToLive time after which the lease ends unless it is renewed
-	 * @return id of the lease
+	 * @return the lease
 	 */
-	CompletableFuture<Long> grantLease(Duration timeToLive);
+	CompletableFuture<StoreLease> grantLease(Duration timeToLive);
 
 	/**
 	 * Renews a lease.
-	 * @param lease id of the lease
-	 * @return future that completes when the lease is renewed
+	 * @param lease lease
+	 * @return the era in which the store has renewed a lease with this id
 	 */
-	CompletableFuture<Void> renewLease(long lease);
+	CompletableFuture<StoreEra> renewLease(StoreLease lease);
 
 	/**
 	 * One key with its value.
 	 *
 	 * @param key key
 	 * @param value value, or null if the key is absent
-	 * @param revision revision of the last change
+	 * @param position position of the last change
 	 */
-	record StoredItem(String key, byte[] value, long revision) {
+	record StoredItem(String key, byte[] value, StorePosition position) {
 
 	}
 
 	/**
-	 * Items as of one revision.
+	 * Items as of one position.
 	 *
 	 * @param items items
-	 * @param revision revision of the store
+	 * @param position position of the store
 	 */
-	record StoredItems(List<StoredItem> items, long revision) {
+	record StoredItems(List<StoredItem> items, StorePosition position) {
 
 		public StoredItems {
 			items = List.copyOf(items);
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/PrefixWatch.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/PrefixWatch.java
@@ -36,7 +36,8 @@
 
 	private final Duration batchDelay;
 
-	private long revision = -1;
+	/** Position after which the next watch call continues; null before a list. */
+	private StorePosition position;
 
 	private long retryMilliseconds = MINIMUM_RETRY_MILLISECONDS;
 
@@ -75,11 +76,11 @@
 	}
 
 	private void callStore() {
-		if (this.revision < 0) {
+		if (this.position == null) {
 			this.store.list(this.prefix).whenComplete((items, failure) -> handleResult(items, failure, this.all));
 		}
 		else {
-			this.store.watch(this.prefix, this.revision, MAXIMUM_WAIT)
+			this.store.watch(this.prefix, this.position, MAXIMUM_WAIT)
 				.whenComplete((items, failure) -> handleResult(items, failure, this.changes));
 		}
 	}
@@ -89,17 +90,19 @@
 		if (failure == null) {
 			if (!this.reachable) {
 				this.reachable = true;
-				logger.infof("event=store-reached prefix=%s revision=%d", this.prefix, items.revision());
+				logger.infof("event=store-reached prefix=%s revision=%d era=%s", this.prefix,
+						items.position().revision(), items.position().era());
 			}
 			this.retryMilliseconds = MINIMUM_RETRY_MILLISECONDS;
-			this.revision = Math.max(this.revision, items.revision());
+			advance(items.position());
 			listener.accept(items);
 			schedule(this.batchDelay.toMillis());
 			return;
 		}
 		if (failure instanceof MeshStoreException ex && ex.kind() == MeshStoreException.Kind.HISTORY_LOST) {
-			logger.infof("event=store-history-lost prefix=%s revision=%d", this.prefix, this.revision);
-			this.revision = -1;
+			logger.infof("event=store-history-lost prefix=%s revision=%d era=%s", this.prefix, this.position.revision(),
+					this.position.era());
+			this.position = null;
 			schedule(0);
 			return;
 		}
@@ -111,6 +114,19 @@
 		this.retryMilliseconds = Math.min(MAXIMUM_RETRY_MILLISECONDS, 2 * this.retryMilliseconds);
 	}
 
+	private void advance(StorePosition current) {
+		if (this.position == null) {
+			this.position = current;
+			return;
+		}
+		if (!current.era().equals(this.position.era())) {
+			logger.warnf(
+					"event=watch-continued-in-other-era prefix=%s revision=%d era=%s store_revision=%d store_era=%s",
+					this.prefix, this.position.revision(), this.position.era(), current.revision(), current.era());
+		}
+		this.position = new StorePosition(current.era(), Math.max(this.position.revision(), current.revision()));
+	}
+
 	private void schedule(long milliseconds) {
 		this.eventLoop.schedule(this::callStore, milliseconds, TimeUnit.MILLISECONDS);
 	}
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/NodeStore.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/NodeStore.java
@@ -1,15 +1,13 @@
 package org.wasabicart.mesh;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
 import io.netty.channel.EventLoop;
 
 /**
  * Connection of one node to a store that several nodes share. Completes futures on the
- * event loop of the node, and watches with the changes that other nodes make.
+ * event loop of the node.
  */
 final class NodeStore implements MeshStore {
 
@@ -17,52 +15,26 @@
 
 	private final EventLoop eventLoop;
 
-	private final List<StoredItem> changes = new ArrayList<>();
-
-	private String watchedPrefix = "";
-
-	private CompletableFuture<StoredItems> watch;
-
 	NodeStore(FakeMeshStore store, EventLoop eventLoop) {
 		this.store = store;
 		this.eventLoop = eventLoop;
 	}
 
-	/**
-	 * Records a change; may be invoked on any thread.
-	 * @param item changed item
-	 */
-	void changed(StoredItem item) {
-		if (!this.eventLoop.isShuttingDown()) {
-			this.eventLoop.execute(() -> {
-				this.changes.add(item);
-				completeWatch();
-			});
-		}
-	}
-
-	private void completeWatch() {
-		List<StoredItem> matching = this.changes.stream()
-			.filter((item) -> item.key().startsWith(this.watchedPrefix))
-			.toList();
-		if (this.watch != null && !matching.isEmpty()) {
-			CompletableFuture<StoredItems> completed = this.watch;
-			this.watch = null;
-			this.changes.clear();
-			completed.complete(new StoredItems(matching, matching.get(matching.size() - 1).revision()));
-		}
-	}
-
 	private <T> CompletableFuture<T> onEventLoop(CompletableFuture<T> result) {
 		CompletableFuture<T> dispatched = new CompletableFuture<>();
-		result.whenComplete((value, failure) -> this.eventLoop.execute(() -> {
-			if (failure == null) {
-				dispatched.complete(value);
+		result.whenComplete((value, failure) -> {
+			if (this.eventLoop.isShuttingDown()) {
+				return;
 			}
-			else {
-				dispatched.completeExceptionally(failure);
-			}
-		}));
+			this.eventLoop.execute(() -> {
+				if (failure == null) {
+					dispatched.complete(value);
+				}
+				else {
+					dispatched.completeExceptionally(failure);
+				}
+			});
+		});
 		return dispatched;
 	}
 
@@ -77,28 +49,22 @@
 	}
 
 	@Override
-	public CompletableFuture<StoredItems> watch(String prefix, long after, Duration wait) {
-		CompletableFuture<StoredItems> result = new CompletableFuture<>();
-		if (prefix.endsWith("/")) {
-			this.watchedPrefix = prefix;
-			this.watch = result;
-			completeWatch();
-		}
-		return result;
+	public CompletableFuture<StoredItems> watch(String prefix, StorePosition after, Duration wait) {
+		return onEventLoop(this.store.watch(prefix, after, wait));
 	}
 
 	@Override
-	public CompletableFuture<Long> write(String key, long expected, byte[] value, long lease) {
+	public CompletableFuture<StorePosition> write(String key, StorePosition expected, byte[] value, StoreLease lease) {
 		return onEventLoop(this.store.write(key, expected, value, lease));
 	}
 
 	@Override
-	public CompletableFuture<Long> grantLease(Duration timeToLive) {
+	public CompletableFuture<StoreLease> grantLease(Duration timeToLive) {
 		return onEventLoop(this.store.grantLease(timeToLive));
 	}
 
 	@Override
-	public CompletableFuture<Void> renewLease(long lease) {
+	public CompletableFuture<StoreEra> renewLease(StoreLease lease) {
 		return onEventLoop(this.store.renewLease(lease));
 	}
 
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
@@ -6,11 +6,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -44,8 +42,6 @@
 
 	private final List<MultiThreadIoEventLoopGroup> nodeGroups = new ArrayList<>();
 
-	private final List<NodeStore> nodeStores = new CopyOnWriteArrayList<>();
-
 	private final List<MeshSettings> settings = new ArrayList<>();
 
 	private final List<String> services;
@@ -64,9 +60,6 @@
 
 	TestFleet(List<String> services, int bodyBytes, Duration grace) throws Exception {
 		this.services = List.copyOf(services);
-		this.store.onChange((item) -> this.nodeStores.stream()
-			.filter(Objects::nonNull)
-			.forEach((nodeStore) -> nodeStore.changed(item)));
 		for (int i = 0; i < services.size(); i++) {
 			TestBackend backend = new TestBackend(this.backendGroup.next(), new InetSocketAddress(HOST, 0), "i-" + i,
 					bodyBytes);
@@ -82,15 +75,13 @@
 					nodeSettings.region(), nodeSettings.service(), new BackendIncarnation("i-" + i, 1), 20,
 					ServerState.READY);
 			String key = "members/" + nodeSettings.nodeId();
-			this.store.items.put(key,
-					new MeshStore.StoredItem(key, MemberEntries.toEntry(member).toByteArray(), i + 1));
+			this.store.put(key, MemberEntries.toEntry(member).toByteArray());
 		}
-		this.store.items.put("configuration", new MeshStore.StoredItem("configuration", new byte[0], 9));
+		publishConfiguration(1);
 		for (int i = 0; i < services.size(); i++) {
 			this.entryAddresses.add(this.settings.get(i).entryAddress());
 			this.nodes.add(null);
 			this.nodeGroups.add(null);
-			this.nodeStores.add(null);
 			start(i);
 		}
 		// Time for the nodes to read the store and to connect to each other.
@@ -111,10 +102,9 @@
 	void startWithoutHeartbeat(int index) throws Exception {
 		MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 		NodeStore nodeStore = new NodeStore(this.store, group.next());
-		this.nodeStores.set(index, nodeStore);
 		MeshNode node = new MeshNode(this.settings.get(index), TestHeaders.NAMES,
-				new StoreKeys("configuration", "members/"), (value) -> configuration(this.services), nodeStore,
-				group.next(), new SplittableRandom(index), new MeshMetrics());
+				new StoreKeys("configuration", "members/"), (value) -> configuration(this.services, value[0]),
+				nodeStore, group.next(), new SplittableRandom(index), new MeshMetrics());
 		this.nodeGroups.set(index, group);
 		this.nodes.set(index, node);
 		node.start();
@@ -164,8 +154,22 @@
 		});
 	}
 
-	private static MeshConfiguration configuration(List<String> services) {
+	/**
+	 * Writes a version of the configuration to the store.
+	 * @param version version
+	 */
+	void publishConfiguration(int version) {
+		this.store.put("configuration", new byte[] { (byte) version });
+	}
+
+	// Each version after the first one adds a route to the last service.
+	private static MeshConfiguration configuration(List<String> services, long version) {
 		List<MeshRoute> routes = new ArrayList<>();
+		for (int added = 2; added <= version; added++) {
+			routes.add(new MeshRoute("added-" + added, "host", "/added-" + added + "/", true, 0, 2,
+					Optional.of(Duration.ofMillis(800)), Optional.of(Duration.ofMillis(400)),
+					List.of(new ServiceShare(new ServiceName(services.get(services.size() - 1)), 1))));
+		}
 		for (String service : services.stream().distinct().toList()) {
 			routes.add(new MeshRoute("read-" + service, "host", "/" + service + "/", true, 0, 2,
 					Optional.of(Duration.ofMillis(800)), Optional.of(Duration.ofMillis(400)),
@@ -174,7 +178,7 @@
 					Optional.of(Duration.ofMillis(800)), Optional.of(Duration.ofMillis(400)),
 					List.of(new ServiceShare(new ServiceName(service), 1))));
 		}
-		return new MeshConfiguration(1, routes, List.of(), CallerLimits.DEFAULT);
+		return new MeshConfiguration(version, routes, List.of(), CallerLimits.DEFAULT);
 	}
 
 	/**
