--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MemberEntryPublisherTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MemberEntryPublisherTests.java
@@ -1,5 +1,6 @@
 package org.wasabicart.mesh;
 
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -60,6 +61,17 @@
 		assertThat(stored()).isNull();
 	}
 
+	@Test
+	void entryIsWrittenAgainAfterItsLeaseIdWasAssignedToAnotherNode() {
+		this.publisher.start();
+		FakeMeshStore.Copy copy = this.store.copy();
+		this.publisher.publish(new byte[] { 1 });
+		this.store.restore(copy);
+		this.store.grantLease(Duration.ofSeconds(6));
+		advanceTime(2500);
+		assertThat(stored()).containsExactly(1);
+	}
+
 	@Test
 	void unchangedEntryCausesNoStoreCall() {
 		this.publisher.publish(new byte[] { 1 });
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/PrefixWatchTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/PrefixWatchTests.java
@@ -47,6 +47,19 @@
 		assertThat(this.events).containsExactly("all 0", "all 0");
 	}
 
+	@Test
+	void changesAtRevisionsThatARestoredStoreAssignsAgainAreNotMissed() {
+		this.watch.start();
+		FakeMeshStore.Copy copy = this.store.copy();
+		this.store.put("p/lost", new byte[1]);
+		advanceTime(200);
+		this.store.restore(copy);
+		this.store.put("p/new", new byte[1]);
+		this.store.put("other", new byte[1]);
+		advanceTime(1000);
+		assertThat(this.events).endsWith("all 1");
+	}
+
 	@Test
 	void failedWatchIsRetriedWithinASecond() {
 		this.watch.start();
