--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MeshNodeTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MeshNodeTests.java
@@ -150,6 +150,8 @@
 	@Test
 	void noOrderIsLostWhenANodeStopsWhileTheStoreIsAway() throws Exception {
 		this.fleet.store.unavailable = true;
+		this.caller.send("POST", "/b/write/x", "first");
+		assertThat(this.caller.receive().status()).isEqualTo(200);
 		Thread stop = new Thread(() -> {
 			this.fleet.nodes.get(1).close();
 			this.fleet.kill(1);
@@ -161,7 +163,7 @@
 			statuses.add(this.caller.receive().status());
 			TimeUnit.MILLISECONDS.sleep(1);
 		}
-		assertThat(statuses).containsOnly(200, 503);
+		assertThat(statuses).contains(503).isSubsetOf(200, 503);
 	}
 
 	/**
