Replace an entry that a delayed write has overwritten

Seen: a node's entry stays as another write left it, so other nodes use slots or a state that do not hold any more. Cause: a write without a response may be executed later if its condition still holds. After the store has returned from an older copy, the condition, a revision, can hold again, and the node ignored changes of its own entry except deletions.

Change: the publisher compares each position at which the store reports the entry with its own last write, and reads and writes the entry again if the reported one is newer.

Evidence: delayedWriteThatReplacesTheEntryOfANodeIsOverwritten failed before and passes now.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MemberEntryPublisher.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MemberEntryPublisher.java
@@ -44,6 +44,9 @@
 
 	private boolean storedEntryUnknown;
 
+	/** Latest position at which the store has reported this entry; null if none. */
+	private StorePosition observedPosition;
+
 	MemberEntryPublisher(MeshStore store, EventLoop eventLoop, String key) {
 		this.store = Objects.requireNonNull(store, "store");
 		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
@@ -76,6 +79,22 @@
 		}
 	}
 
+	/**
+	 * Processes the entry as the store holds it. An entry that is newer than the last
+	 * write comes from another writer, such as a delayed write of this node that took
+	 * effect after the store returned from an older copy; it is replaced.
+	 * @param stored position of the entry
+	 */
+	void entryObserved(StorePosition stored) {
+		this.observedPosition = stored;
+		reconcile();
+	}
+
+	private boolean isReplaced() {
+		return this.observedPosition != null && this.observedPosition.era().equals(this.position.era())
+				&& this.observedPosition.revision() > this.position.revision();
+	}
+
 	/**
 	 * Writes the entry again after the store has returned from an older copy, which may
 	 * lack the entry or hold an earlier one. The lease may be gone, or its id may belong
@@ -117,7 +136,16 @@
 	}
 
 	private void reconcile() {
-		if (this.callInProgress || Arrays.equals(this.desiredValue, this.writtenValue)) {
+		if (this.callInProgress) {
+			return;
+		}
+		if (this.writtenValue != null && isReplaced()) {
+			logger.warnf("event=entry-replaced key=%s revision=%d written_revision=%d era=%s", this.key,
+					this.observedPosition.revision(), this.position.revision(), this.position.era());
+			this.writtenValue = null;
+			this.storedEntryUnknown = true;
+		}
+		if (Arrays.equals(this.desiredValue, this.writtenValue)) {
 			return;
 		}
 		this.callInProgress = true;
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -332,6 +332,7 @@
 				members.add(member);
 				if (member.node().equals(this.settings.nodeId())) {
 					ownEntryFound = true;
+					this.entryPublisher.entryObserved(item.position());
 					this.localBackend.restore(member);
 				}
 			}
@@ -346,12 +347,20 @@
 		}
 	}
 
+	private boolean isOwnEntry(MeshStore.StoredItem item) {
+		return item.key().equals(this.storeKeys.memberPrefix() + this.settings.nodeId());
+	}
+
 	private void applyMemberChanges(MeshStore.StoredItems items) {
 		for (MeshStore.StoredItem item : items.items()) {
 			if (item.value() == null) {
 				removeMember(item.key().substring(this.storeKeys.memberPrefix().length()));
 				continue;
 			}
+			if (isOwnEntry(item)) {
+				this.entryPublisher.entryObserved(item.position());
+				continue;
+			}
 			MeshMember member = decodeMember(item);
 			if (member != null) {
 				this.peers.announced(member);
