Read the configuration from peers while the store has an older one

Seen: a node that starts after the store has returned from an older copy answers 404 on a route that had been added, and uses the old service of a changed one, though all other nodes have the newer configuration. Cause: a node that learned of a newer version from a ping read the store only, which does not have that version until the operators write again.

A node answers calls that name no incarnation itself (NodeCalls). When the era of the store changes, each node exchanges versions with all others, since busy links carry no pings.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ClientLink.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ClientLink.java
@@ -109,6 +109,16 @@
 		}
 	}
 
+	/**
+	 * Sends a ping unless one is unanswered.
+	 * @param now current time in nanoseconds
+	 */
+	void ping(long now) {
+		if (!this.pingOutstanding) {
+			sendPing(now);
+		}
+	}
+
 	private void sendPing(long now) {
 		this.pingOutstanding = true;
 		this.pingSent = now;
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -111,6 +111,10 @@
 
 	private final List<Channel> listeners = new ArrayList<>();
 
+	private final ConfigurationCatchUp configurationCatchUp;
+
+	private final NodeCalls nodeCalls;
+
 	private final PauseDetector pauseDetector = new PauseDetector();
 
 	private final Set<ServerLink> serverLinks = new HashSet<>();
@@ -121,7 +125,7 @@
 
 	private boolean membersListed;
 
-	private boolean configurationRequested;
+	private byte[] configurationValue;
 
 	private boolean stopping;
 
@@ -149,7 +153,7 @@
 		IncarnationRecords incarnationRecords = new IncarnationRecords();
 		this.localBackend = new LocalBackend(settings, names, eventLoop, this::publishLocalServer, this::knownServices,
 				new BackendTrafficLog(metrics), incarnationRecords);
-		this.peers = new Peers(settings.nodeId(), new PeerEnvironment(eventLoop, this::ownPing, this::handlePing,
+		this.peers = new Peers(settings.nodeId(), new PeerEnvironment(eventLoop, this::ownPing, this::handlePeerPing,
 				this::recordOrigin, incarnationRecords));
 		this.destinations = new Destinations(this.peers, this.localBackend,
 				new Placement(settings.failureDomain(), settings.region(), random), incarnationRecords);
@@ -158,6 +162,9 @@
 				this.destinations, this.limits, metrics, new DecisionLog(), this::receiveDelay);
 		this.entryPublisher = new MemberEntryPublisher(this.store, eventLoop,
 				storeKeys.memberPrefix() + settings.nodeId());
+		this.configurationCatchUp = new ConfigurationCatchUp(this::isNewer, this::readStoredConfiguration,
+				this::applyConfigurationOfPeer, this.peers::pingAll);
+		this.nodeCalls = new NodeCalls(() -> this.configurationValue, this.localBackend::restore);
 		this.memberWatch = new PrefixWatch(this.store, eventLoop, storeKeys.memberPrefix(), MEMBER_BATCH_DELAY,
 				this::replaceMembers, this::applyMemberChanges);
 		this.configurationWatch = new PrefixWatch(this.store, eventLoop, storeKeys.configurationKey(),
@@ -180,7 +187,7 @@
 			protected void initChannel(Channel channel) {
 				FrameCodec.addTo(channel.pipeline());
 				channel.pipeline()
-					.addLast(new ServerLink(MeshNode.this.localBackend, MeshNode.this::ownPing,
+					.addLast(new ServerLink(MeshNode.this.localBackend, MeshNode.this.nodeCalls, MeshNode.this::ownPing,
 							MeshNode.this::handlePing, MeshNode.this.serverLinks, MeshNode.this::receiveDelay));
 			}
 		});
@@ -274,17 +281,26 @@
 	}
 
 	private void handlePing(MeshPing ping) {
+		// A node cannot be read on a link that it has opened.
+		this.configurationCatchUp.versionReported(ping.getConfigurationVersion());
+	}
+
+	private void handlePeerPing(MeshPing ping, ConfigurationSource source) {
+		this.configurationCatchUp.versionReported(ping.getConfigurationVersion(), source);
+	}
+
+	private boolean isNewer(long version) {
 		MeshConfiguration current = this.router.configuration();
-		boolean newer = current == null || Long.compareUnsigned(ping.getConfigurationVersion(), current.version()) > 0;
-		if (newer && !this.configurationRequested) {
-			this.configurationRequested = true;
-			this.store.get(this.storeKeys.configurationKey()).whenComplete((item, failure) -> {
-				this.configurationRequested = false;
-				if (failure == null) {
-					applyConfiguration(item);
-				}
-			});
-		}
+		return current == null || Long.compareUnsigned(version, current.version()) > 0;
+	}
+
+	private void readStoredConfiguration(Runnable end) {
+		this.store.get(this.storeKeys.configurationKey()).whenComplete((item, failure) -> {
+			if (failure == null) {
+				applyConfiguration(item);
+			}
+			end.run();
+		});
 	}
 
 	private void storeEraStarted(StoreEra era, boolean restored) {
@@ -292,6 +308,8 @@
 		this.metrics.recordStoreEra(era.number());
 		if (restored) {
 			this.entryPublisher.storeRestored();
+			// The store may lack a configuration that some nodes have.
+			this.peers.pingAll();
 		}
 	}
 
@@ -303,26 +321,37 @@
 		if (!item.key().equals(this.storeKeys.configurationKey()) || item.value() == null) {
 			return;
 		}
+		applyConfiguration(item.value(),
+				String.format("store revision=%d era=%s", item.position().revision(), item.position().era()));
+	}
+
+	private void applyConfigurationOfPeer(byte[] value) {
+		applyConfiguration(value, "peer");
+	}
+
+	private void applyConfiguration(byte[] value, String source) {
 		try {
-			MeshConfiguration candidate = this.decoder.decode(item.value());
+			MeshConfiguration candidate = this.decoder.decode(value);
 			if (this.router.apply(candidate)) {
-				logger.infof("event=configuration-in-force version=%08x revision=%d era=%s routes=%d",
-						candidate.version(), item.position().revision(), item.position().era(),
-						candidate.routes().size());
+				this.configurationValue = value;
+				logger.infof("event=configuration-in-force version=%08x routes=%d source=%s", candidate.version(),
+						candidate.routes().size(), source);
 				this.metrics.recordConfigurationVersion(candidate.version());
 			}
-			else if (Long.compareUnsigned(candidate.version(), this.router.configuration().version()) < 0) {
-				logger.infof("event=configuration-older version=%08x in_force=%08x revision=%d era=%s",
-						candidate.version(), this.router.configuration().version(), item.position().revision(),
-						item.position().era());
+			else if (isOlder(candidate.version())) {
+				logger.infof("event=configuration-older version=%08x in_force=%08x source=%s", candidate.version(),
+						this.router.configuration().version(), source);
 			}
 		}
 		catch (ConfigurationUnreadableException ex) {
-			logger.warnf("event=configuration-unreadable revision=%d reason=\"%s\"", item.position().revision(),
-					ex.getMessage());
+			logger.warnf("event=configuration-unreadable source=%s reason=\"%s\"", source, ex.getMessage());
 		}
 	}
 
+	private boolean isOlder(long version) {
+		return Long.compareUnsigned(version, this.router.configuration().version()) < 0;
+	}
+
 	private void replaceMembers(MeshStore.StoredItems items) {
 		List<MeshMember> members = new ArrayList<>();
 		boolean ownEntryFound = false;
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
@@ -3,10 +3,12 @@
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import org.jboss.logging.Logger;
 
 import org.wasabicart.core.mesh.CallOrigin;
@@ -137,7 +139,26 @@
 	@Override
 	public void pingReceived(MeshPing ping) {
 		this.status.nodeStopping(ping.getStopping());
-		this.environment.pingListener().accept(ping);
+		this.environment.pingListener().pingReceived(ping, this::readConfiguration);
+	}
+
+	private void readConfiguration(Consumer<byte[]> listener) {
+		if (this.link == null) {
+			listener.accept(null);
+			return;
+		}
+		this.link.send(NodeCalls.readConfiguration(System.nanoTime()), (result) -> listener.accept(
+				(result instanceof CallResult.Answered answered && answered.status() == HttpResponseStatus.OK.code())
+						? answered.body() : null));
+	}
+
+	/**
+	 * Exchanges the versions of the configurations in force with the other node.
+	 */
+	void ping() {
+		if (this.link != null) {
+			this.link.ping(System.nanoTime());
+		}
 	}
 
 	@Override
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/PeerEnvironment.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/PeerEnvironment.java
@@ -1,7 +1,6 @@
 package org.wasabicart.mesh;
 
 import java.util.Objects;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
@@ -19,7 +18,7 @@
  * @param originListener receives the reported origins of calls
  * @param incarnationRecords what is known about the incarnations of servers
  */
-record PeerEnvironment(EventLoop eventLoop, Supplier<MeshPing> ownPing, Consumer<MeshPing> pingListener,
+record PeerEnvironment(EventLoop eventLoop, Supplier<MeshPing> ownPing, PingListener pingListener,
 		OriginListener originListener, IncarnationRecords incarnationRecords) {
 
 	PeerEnvironment {
@@ -30,6 +29,21 @@
 		Objects.requireNonNull(incarnationRecords, "incarnationRecords");
 	}
 
+	/**
+	 * Receives pings.
+	 */
+	@FunctionalInterface
+	interface PingListener {
+
+		/**
+		 * A node has sent a ping or acknowledged one.
+		 * @param ping ping with the state of the node
+		 * @param source reads the configuration of the node
+		 */
+		void pingReceived(MeshPing ping, ConfigurationSource source);
+
+	}
+
 	/**
 	 * Receives the origin of the calls of a route.
 	 */
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peers.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peers.java
@@ -101,6 +101,13 @@
 		this.missingSince.replaceAll((node, since) -> now);
 	}
 
+	/**
+	 * Exchanges the versions of the configurations in force with all other nodes.
+	 */
+	void pingAll() {
+		this.peers.values().forEach(Peer::ping);
+	}
+
 	private void rebuildServiceIndex() {
 		this.byService.clear();
 		this.peers.values()
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ServerLink.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ServerLink.java
@@ -29,6 +29,8 @@
 
 	private final LocalBackend backend;
 
+	private final NodeCalls nodeCalls;
+
 	private final Supplier<MeshPing> ownPing;
 
 	private final Consumer<MeshPing> pingListener;
@@ -44,16 +46,18 @@
 	/**
 	 * Creates a handler for one link.
 	 * @param backend runs the calls
+	 * @param nodeCalls answers the calls for the node itself
 	 * @param ownPing provides a ping with the state of this node
 	 * @param pingListener receives the pings of the other node
 	 * @param openLinks open links, which contain this one while it is open
 	 * @param receiveDelay returns the time in nanoseconds for which data that is read now
 	 * may have been buffered
 	 */
-	ServerLink(LocalBackend backend, Supplier<MeshPing> ownPing, Consumer<MeshPing> pingListener,
+	ServerLink(LocalBackend backend, NodeCalls nodeCalls, Supplier<MeshPing> ownPing, Consumer<MeshPing> pingListener,
 			Set<ServerLink> openLinks, LongSupplier receiveDelay) {
 		super(MeshFrame.class);
 		this.backend = Objects.requireNonNull(backend, "backend");
+		this.nodeCalls = Objects.requireNonNull(nodeCalls, "nodeCalls");
 		this.ownPing = ownPing;
 		this.pingListener = pingListener;
 		this.openLinks = Objects.requireNonNull(openLinks, "openLinks");
@@ -92,6 +96,10 @@
 		long delay = this.receiveDelay.getAsLong();
 		long now = System.nanoTime();
 		Call call = CallMessages.toCall(message, now - delay);
+		if (NodeCalls.isNodeCall(call)) {
+			reply(message, this.nodeCalls.answer(call));
+			return;
+		}
 		if (delay > 0 && call.deadline() - now <= 0) {
 			// The sender may have stopped waiting. If not, it can use another server.
 			logger.infof("event=call-delayed request=%s delay_ms=%d", call.requestId(),
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
@@ -70,10 +70,15 @@
 		}, () -> 1, new BackendTrafficLog(new MeshMetrics()), new IncarnationRecords());
 	}
 
+	private static NodeCalls nodeCalls() {
+		return new NodeCalls(() -> null, (member) -> {
+		});
+	}
+
 	@Test
 	void pingIsAcknowledged() {
-		EmbeddedChannel server = new EmbeddedChannel(
-				new ServerLink(localBackend(), () -> MeshPing.newBuilder().setAcknowledgement(true).build(), (ping) -> {
+		EmbeddedChannel server = new EmbeddedChannel(new ServerLink(localBackend(), nodeCalls(),
+				() -> MeshPing.newBuilder().setAcknowledgement(true).build(), (ping) -> {
 				}, new HashSet<>(), () -> 0));
 		this.link.tick(System.nanoTime() + TimeUnit.SECONDS.toNanos(3));
 		MeshFrame ping = this.channel.readOutbound();
@@ -124,8 +129,9 @@
 	void callThatWaitedThroughAPauseUntilItsDeadlineDoesNotRun() {
 		LocalBackend backend = localBackend();
 		backend.handleHeartbeat(new BackendAnnouncement("i-1", 1, 1, new ServiceName("s"), 10, ServerState.READY));
-		EmbeddedChannel server = new EmbeddedChannel(new ServerLink(backend, MeshPing::getDefaultInstance, (ping) -> {
-		}, new HashSet<>(), () -> TimeUnit.SECONDS.toNanos(2)));
+		EmbeddedChannel server = new EmbeddedChannel(
+				new ServerLink(backend, nodeCalls(), MeshPing::getDefaultInstance, (ping) -> {
+				}, new HashSet<>(), () -> TimeUnit.SECONDS.toNanos(2)));
 		send("order", false);
 		MeshFrame call = this.channel.readOutbound();
 		server.writeInbound(call);
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/PeerTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/PeerTests.java
@@ -44,7 +44,7 @@
 		try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
 			EventLoop eventLoop = this.group.next();
 			Peer peer = new Peer(member((InetSocketAddress) listener.getLocalSocketAddress()),
-					new PeerEnvironment(eventLoop, MeshPing::getDefaultInstance, (ping) -> {
+					new PeerEnvironment(eventLoop, MeshPing::getDefaultInstance, (ping, source) -> {
 					}, (route, origin) -> {
 					}, new IncarnationRecords()));
 			eventLoop.submit(() -> peer.tick(System.nanoTime())).sync();
@@ -60,7 +60,7 @@
 	@Test
 	void nodeThatReportsThatItStopsGetsNoCallsUntilItsNextProcessAnswers() {
 		Peer peer = new Peer(member(new InetSocketAddress("127.0.0.1", 1)),
-				new PeerEnvironment(this.group.next(), MeshPing::getDefaultInstance, (ping) -> {
+				new PeerEnvironment(this.group.next(), MeshPing::getDefaultInstance, (ping, source) -> {
 				}, (route, origin) -> {
 				}, new IncarnationRecords()));
 		peer.linkAnswering();
