Tell a restarted node that its server is leaving

Seen: after a restart of its node, a server that had left was in use again at nodes that had started as well. Cause: that an incarnation is leaving outlives the node's process only in its store entry, and the store had returned from a copy in which the entry still says that the server takes work.

Change: a node that knows that an incarnation is leaving tells the node beside the server, when their link answers and when the entry changes. The restarted node then refuses calls and publishes the state.

BackendNoticeTests pass.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberStatus.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberStatus.java
@@ -150,6 +150,15 @@
 		this.nodeStopping = value;
 	}
 
+	/**
+	 * Returns whether the server is known to be leaving, although its node announces that
+	 * it takes new work.
+	 * @return whether its node lacks this information
+	 */
+	public boolean leavingUnannounced() {
+		return this.incarnationRecord.leaving() && this.member.state() != ServerState.LEAVING;
+	}
+
 	/**
 	 * Makes the server unusable until a time.
 	 * @param until time in nanoseconds
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MeshMember.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MeshMember.java
@@ -36,6 +36,16 @@
 		}
 	}
 
+	/**
+	 * Returns a copy of this description with another state.
+	 * @param newState state
+	 * @return the copy
+	 */
+	public MeshMember withState(ServerState newState) {
+		return new MeshMember(this.node, this.address, this.failureDomain, this.region, this.service, this.incarnation,
+				this.slots, newState);
+	}
+
 	/**
 	 * Returns the id of the server.
 	 * @return the id
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
@@ -177,14 +177,14 @@
 
 	/**
 	 * Restores what an earlier run of this process has published about the server.
-	 * @param stored entry of this node in the store
+	 * @param published description of the server in the store or at another node
 	 */
-	void restore(MeshMember stored) {
-		if (stored.state() != ServerState.LEAVING) {
+	void restore(MeshMember published) {
+		if (published.state() != ServerState.LEAVING) {
 			return;
 		}
-		this.incarnationRecords.get(stored.incarnation()).markLeaving();
-		if (this.current != null && this.current.incarnation().equals(stored.incarnation())) {
+		this.incarnationRecords.get(published.incarnation()).markLeaving();
+		if (this.current != null && this.current.incarnation().equals(published.incarnation())) {
 			markLeaving();
 			this.changeListener.run();
 		}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
@@ -15,6 +15,7 @@
 import org.wasabicart.core.mesh.MemberLoadReport;
 import org.wasabicart.core.mesh.MemberStatus;
 import org.wasabicart.core.mesh.MeshMember;
+import org.wasabicart.core.mesh.ServerState;
 import org.wasabicart.core.model.NodeAddress;
 import org.wasabicart.wire.generated.mesh.MeshPing;
 
@@ -60,6 +61,7 @@
 	void announced(MeshMember member) {
 		NodeAddress previous = this.status.member().address();
 		this.status.member(member);
+		reportLeaving();
 		if (!previous.equals(member.address()) && this.link != null) {
 			this.link.close();
 		}
@@ -142,6 +144,17 @@
 		this.environment.pingListener().pingReceived(ping, this::readConfiguration);
 	}
 
+	// A node that restarts knows only what the store has, which may be older.
+	private void reportLeaving() {
+		if (this.link == null || !this.status.reachable() || !this.status.leavingUnannounced()) {
+			return;
+		}
+		MeshMember member = this.status.member();
+		logger.infof("event=leaving-reported peer=%s instance=%s", member.node(), member.instance());
+		this.link.send(NodeCalls.reportMember(member.withState(ServerState.LEAVING), System.nanoTime()),
+				(result) -> logger.debugf("event=leaving-report-ended peer=%s result=%s", member.node(), result));
+	}
+
 	private void readConfiguration(Consumer<byte[]> listener) {
 		if (this.link == null) {
 			listener.accept(null);
@@ -175,6 +188,7 @@
 			logger.infof("event=link-answers peer=%s", this.status.member().node());
 		}
 		this.status.reachable(true);
+		reportLeaving();
 		this.reconnectDelay = MINIMUM_RECONNECT_DELAY;
 	}
 
