Keep nodes whose entries a restored store lacks

A store that returns from an older copy lacks the entries that were written since. A node that cannot reach it at once was removed by the others after 2.5 s, although its link answered.

Change: after a return no node is removed for the time of a lease. Nodes that are gone have no link that answers, so they get no calls meanwhile.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MemberEntryPublisher.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MemberEntryPublisher.java
@@ -18,7 +18,7 @@
 	private static final Logger logger = Logger.getLogger(MemberEntryPublisher.class);
 
 	/** Time after which the store deletes the entry of a node that has failed. */
-	private static final Duration LEASE_TIME_TO_LIVE = Duration.ofSeconds(6);
+	static final Duration LEASE_TIME_TO_LIVE = Duration.ofSeconds(6);
 
 	/** A third of the lease, so that a failed renewal can be repeated in time. */
 	private static final long RENEWAL_INTERVAL_MILLISECONDS = 2000;
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -308,6 +308,7 @@
 		this.metrics.recordStoreEra(era.number());
 		if (restored) {
 			this.entryPublisher.storeRestored();
+			this.peers.storeRestored(System.nanoTime());
 			// The store may lack a configuration that some nodes have.
 			this.peers.pingAll();
 		}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peers.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peers.java
@@ -28,6 +28,13 @@
 	 */
 	private static final long MISSING_ENTRY_TIMEOUT = TimeUnit.MILLISECONDS.toNanos(2500);
 
+	/**
+	 * Time for which no node is removed after the store has returned from an older copy.
+	 * As long as the lease of an entry, so that nodes that cannot reach the store right
+	 * away have the same time as usual to write their entries.
+	 */
+	private static final long RESTORE_GRACE = MemberEntryPublisher.LEASE_TIME_TO_LIVE.toNanos();
+
 	private final NodeId self;
 
 	private final PeerEnvironment environment;
@@ -38,6 +45,8 @@
 
 	private final Map<ServiceName, List<MemberStatus>> byService = new HashMap<>();
 
+	private long restoreGraceEnd = System.nanoTime();
+
 	Peers(NodeId self, PeerEnvironment environment) {
 		this.self = Objects.requireNonNull(self, "self");
 		this.environment = Objects.requireNonNull(environment, "environment");
@@ -92,6 +101,15 @@
 		this.peers.keySet().stream().filter((node) -> !present.contains(node)).toList().forEach(this::entryMissing);
 	}
 
+	/**
+	 * The store has returned from an older copy, so entries may be missing although their
+	 * nodes run.
+	 * @param now current time in nanoseconds
+	 */
+	void storeRestored(long now) {
+		this.restoreGraceEnd = now + RESTORE_GRACE;
+	}
+
 	/**
 	 * Restarts the timeouts of missing entries, since this node was paused and may not
 	 * have read that they have returned.
@@ -129,7 +147,7 @@
 	}
 
 	void tick(long now, boolean storeReachable) {
-		if (storeReachable) {
+		if (storeReachable && now - this.restoreGraceEnd >= 0) {
 			List<NodeId> expired = this.missingSince.entrySet()
 				.stream()
 				.filter((entry) -> now - entry.getValue() > MISSING_ENTRY_TIMEOUT)
