Read configuration versions of other nodes while the store rejects a node

Seen: a node that the store rejects learns of a change only from pings, which busy links do not carry and idle links carry every 2 s; and it then asked the store first, which rejects it.

Change: while the watch of the configuration cannot reach the store, the node asks another node for its version every 300 ms, and reads the configuration there. A ping without a configuration causes no store call.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -51,6 +51,9 @@
 	/** Delay that collects changes, each of which must take effect within two seconds. */
 	private static final Duration CONFIGURATION_BATCH_DELAY = Duration.ofMillis(150);
 
+	/** Version in the ping of a node that has no configuration. */
+	private static final long NO_VERSION = 0;
+
 	/** Interval of the checks for timeouts that have no timer of their own. */
 	private static final long TICK_MILLISECONDS = 50;
 
@@ -72,6 +75,13 @@
 	 */
 	private static final double REFUSAL_GRACE_SHARE = 0.5;
 
+	/**
+	 * Interval at which another node is asked for its configuration version while the
+	 * store cannot be reached. Several intervals fit into the time in which a change must
+	 * take effect.
+	 */
+	private static final long VERSION_CHECK_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(300);
+
 	/** Bodies are held in memory, which the node shares with a backend server. */
 	private static final int MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
 
@@ -121,8 +131,12 @@
 
 	private final Set<EntryConnection> callerConnections = new HashSet<>();
 
+	private final RandomGenerator random;
+
 	private long lastIdleCheck = System.nanoTime();
 
+	private long lastVersionCheck = System.nanoTime();
+
 	private boolean membersListed;
 
 	private byte[] configurationValue;
@@ -150,6 +164,7 @@
 		this.store = new EraCheckedStore(store, this::storeEraStarted);
 		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
+		this.random = Objects.requireNonNull(random, "random");
 		IncarnationRecords incarnationRecords = new IncarnationRecords();
 		this.localBackend = new LocalBackend(settings, names, eventLoop, this::publishLocalServer, this::knownServices,
 				new BackendTrafficLog(metrics), incarnationRecords);
@@ -291,10 +306,14 @@
 
 	private boolean isNewer(long version) {
 		MeshConfiguration current = this.router.configuration();
-		return current == null || Long.compareUnsigned(version, current.version()) > 0;
+		return version != NO_VERSION && (current == null || Long.compareUnsigned(version, current.version()) > 0);
 	}
 
 	private void readStoredConfiguration(Runnable end) {
+		if (!this.configurationWatch.reachable()) {
+			end.run();
+			return;
+		}
 		this.store.get(this.storeKeys.configurationKey()).whenComplete((item, failure) -> {
 			if (failure == null) {
 				applyConfiguration(item);
@@ -440,6 +459,12 @@
 		if (receiveDelay() == 0) {
 			this.peers.tick(now, this.memberWatch.reachable());
 		}
+		if (now - this.lastVersionCheck > VERSION_CHECK_INTERVAL_NANOSECONDS) {
+			this.lastVersionCheck = now;
+			if (!this.configurationWatch.reachable()) {
+				this.peers.pingAny(this.random);
+			}
+		}
 		if (now - this.lastIdleCheck > IDLE_CHECK_INTERVAL_NANOSECONDS) {
 			this.lastIdleCheck = now;
 			MeshConfiguration current = this.router.configuration();
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peers.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peers.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 
 import org.jboss.logging.Logger;
 
@@ -126,6 +127,16 @@
 		this.peers.values().forEach(Peer::ping);
 	}
 
+	/**
+	 * Exchanges the versions of the configurations in force with one other node.
+	 * @param random random source
+	 */
+	void pingAny(RandomGenerator random) {
+		if (!this.peers.isEmpty()) {
+			this.peers.values().stream().skip(random.nextInt(this.peers.size())).findFirst().ifPresent(Peer::ping);
+		}
+	}
+
 	private void rebuildServiceIndex() {
 		this.byService.clear();
 		this.peers.values()
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/NodeStore.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/NodeStore.java
@@ -1,7 +1,10 @@
 package org.wasabicart.mesh;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 
@@ -15,13 +18,48 @@
 
 	private final EventLoop eventLoop;
 
+	private final List<CompletableFuture<?>> open = new CopyOnWriteArrayList<>();
+
+	private volatile boolean rejecting;
+
 	NodeStore(FakeMeshStore store, EventLoop eventLoop) {
 		this.store = store;
 		this.eventLoop = eventLoop;
 	}
 
-	private <T> CompletableFuture<T> onEventLoop(CompletableFuture<T> result) {
+	/**
+	 * Rejects all calls of the node, also those in progress.
+	 * @param value whether calls are rejected
+	 */
+	void reject(boolean value) {
+		this.rejecting = value;
+		if (value) {
+			this.open.forEach((call) -> call.completeExceptionally(rejection()));
+		}
+	}
+
+	private static MeshStoreException rejection() {
+		return new MeshStoreException(MeshStoreException.Kind.REJECTED, "rejected");
+	}
+
+	private <T> CompletableFuture<T> onEventLoop(Supplier<CompletableFuture<T>> call) {
 		CompletableFuture<T> dispatched = new CompletableFuture<>();
+		CompletableFuture<T> result = new CompletableFuture<>();
+		this.open.add(result);
+		if (this.rejecting) {
+			result.completeExceptionally(rejection());
+		}
+		else {
+			call.get().whenComplete((value, failure) -> {
+				if (failure == null) {
+					result.complete(value);
+				}
+				else {
+					result.completeExceptionally(failure);
+				}
+			});
+		}
+		result.whenComplete((value, failure) -> this.open.remove(result));
 		result.whenComplete((value, failure) -> {
 			if (this.eventLoop.isShuttingDown()) {
 				return;
@@ -40,32 +78,32 @@
 
 	@Override
 	public CompletableFuture<StoredItem> get(String key) {
-		return onEventLoop(this.store.get(key));
+		return onEventLoop(() -> this.store.get(key));
 	}
 
 	@Override
 	public CompletableFuture<StoredItems> list(String prefix) {
-		return onEventLoop(this.store.list(prefix));
+		return onEventLoop(() -> this.store.list(prefix));
 	}
 
 	@Override
 	public CompletableFuture<StoredItems> watch(String prefix, StorePosition after, Duration wait) {
-		return onEventLoop(this.store.watch(prefix, after, wait));
+		return onEventLoop(() -> this.store.watch(prefix, after, wait));
 	}
 
 	@Override
 	public CompletableFuture<StorePosition> write(String key, StorePosition expected, byte[] value, StoreLease lease) {
-		return onEventLoop(this.store.write(key, expected, value, lease));
+		return onEventLoop(() -> this.store.write(key, expected, value, lease));
 	}
 
 	@Override
 	public CompletableFuture<StoreLease> grantLease(Duration timeToLive) {
-		return onEventLoop(this.store.grantLease(timeToLive));
+		return onEventLoop(() -> this.store.grantLease(timeToLive));
 	}
 
 	@Override
 	public CompletableFuture<StoreEra> renewLease(StoreLease lease) {
-		return onEventLoop(this.store.renewLease(lease));
+		return onEventLoop(() -> this.store.renewLease(lease));
 	}
 
 }
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/RestoredStoreTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/RestoredStoreTests.java
@@ -76,6 +76,13 @@
 		assertThat(statusWithin(2000, 0, "/added-2/x")).isEqualTo(200);
 	}
 
+	@Test
+	void nodeThatTheStoreRejectsUsesTheConfigurationOfItsPeers() throws Exception {
+		this.fleet.rejectStoreCalls(0, true);
+		this.fleet.publishConfiguration(2);
+		assertThat(statusWithin(1000, 0, "/added-2/x")).isEqualTo(200);
+	}
+
 	@Test
 	void delayedWriteThatReplacesTheEntryOfANodeIsOverwritten() throws Exception {
 		MeshMember current = MemberEntries.toMember(this.fleet.store.items.get("members/n1").value());
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
@@ -42,6 +42,8 @@
 
 	private final List<MultiThreadIoEventLoopGroup> nodeGroups = new ArrayList<>();
 
+	private final List<NodeStore> nodeStores = new ArrayList<>();
+
 	private final List<MeshSettings> settings = new ArrayList<>();
 
 	private final List<String> services;
@@ -82,6 +84,7 @@
 			this.entryAddresses.add(this.settings.get(i).entryAddress());
 			this.nodes.add(null);
 			this.nodeGroups.add(null);
+			this.nodeStores.add(null);
 			start(i);
 		}
 		// Time for the nodes to read the store and to connect to each other.
@@ -102,6 +105,7 @@
 	void startWithoutHeartbeat(int index) throws Exception {
 		MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 		NodeStore nodeStore = new NodeStore(this.store, group.next());
+		this.nodeStores.set(index, nodeStore);
 		MeshNode node = new MeshNode(this.settings.get(index), TestHeaders.NAMES,
 				new StoreKeys("configuration", "members/"), (value) -> configuration(this.services, value[0]),
 				nodeStore, group.next(), new SplittableRandom(index), new MeshMetrics());
@@ -110,6 +114,15 @@
 		node.start();
 	}
 
+	/**
+	 * Lets the store reject all calls of one node.
+	 * @param index number of the node
+	 * @param rejecting whether calls are rejected
+	 */
+	void rejectStoreCalls(int index, boolean rejecting) {
+		this.nodeStores.get(index).reject(rejecting);
+	}
+
 	void deregister(int index) throws Exception {
 		onNode(index, () -> {
 			this.nodes.get(index).handleDeregistration(this.backends.get(index).instance);
