Answer requests that arrive while a stopping node is busy

Seen by callers: during a planned stop, requests that had waited for 207 to 262 ms ended without an answer. Trace: the node had been told to stop 200 ms after its start; its event loop was busy for 190 ms with the first list and configuration, the check whether it may stop ran next, before the requests in the sockets were read, and the process ended.

Change: a node stops after two checks in a row without a gap of 100 ms or more, in between which the event loop reads and answers what has arrived. The limit by the grace period is unchanged.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -63,6 +63,12 @@
 	 */
 	private static final long MINIMUM_STOP_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(2500);
 
+	/**
+	 * Longest time between two checks of a stopping node after which its event loop
+	 * counts as responsive. Requests that are cut off have waited for at most this time.
+	 */
+	private static final long MAXIMUM_STOP_CHECK_GAP_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
+
 	/**
 	 * Share of the grace period after which the node stops in any case, which leaves time
 	 * for the process to exit.
@@ -145,6 +151,10 @@
 
 	private long stopStart;
 
+	private boolean stopFinished;
+
+	private long lastStopCheck;
+
 	/**
 	 * Creates a node.
 	 * @param settings settings
@@ -507,11 +517,17 @@
 		long elapsed = System.nanoTime() - this.stopStart;
 		long grace = this.settings.grace().toNanos();
 		boolean idle = this.router.activeRequests() == 0 && this.localBackend.activeCalls() == 0;
-		boolean stopped = elapsed > grace * STOP_GRACE_SHARE || idle && elapsed > MINIMUM_STOP_NANOSECONDS;
-		if (stopped || elapsed > grace * REFUSAL_GRACE_SHARE) {
+		boolean finished = idle && elapsed > MINIMUM_STOP_NANOSECONDS;
+		if (finished || elapsed > grace * REFUSAL_GRACE_SHARE) {
 			this.router.refuseNewRequests();
 		}
-		return stopped;
+		// Requests may have arrived while the event loop was busy. It has read and
+		// answered them once two checks follow each other without a long gap.
+		boolean confirmed = finished && this.stopFinished
+				&& elapsed - this.lastStopCheck < MAXIMUM_STOP_CHECK_GAP_NANOSECONDS;
+		this.stopFinished = finished;
+		this.lastStopCheck = elapsed;
+		return confirmed || elapsed > grace * STOP_GRACE_SHARE;
 	}
 
 }
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MeshNodeTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/MeshNodeTests.java
@@ -166,6 +166,30 @@
 		assertThat(statuses).contains(503).isSubsetOf(200, 503);
 	}
 
+	/**
+	 * Guards against requests that arrive while the event loop of a stopping node is
+	 * busy, and are cut off because the process ends before it reads them.
+	 */
+	@Test
+	void requestThatArrivesWhileAStoppingNodeIsBusyIsAnsweredBeforeItStops() throws Exception {
+		try (TestFleet longGraceFleet = new TestFleet(List.of("a", "b"), 10, Duration.ofSeconds(30))) {
+			this.caller.close();
+			this.caller = new TestCaller(longGraceFleet.entryAddresses.get(0));
+			this.caller.send("GET", "/b/x", "first");
+			this.caller.receive();
+			Thread stop = new Thread(longGraceFleet.nodes.get(0)::close);
+			stop.start();
+			TimeUnit.MILLISECONDS.sleep(2450);
+			longGraceFleet.block(0, 400);
+			TimeUnit.MILLISECONDS.sleep(100);
+			this.caller.send("GET", "/b/x", "late");
+			TimeUnit.MILLISECONDS.sleep(50);
+			longGraceFleet.block(0, 300);
+			stop.join();
+			assertThat(this.caller.hasData()).isTrue();
+		}
+	}
+
 	/**
 	 * Guards against a node that does not stop because callers keep sending requests, and
 	 * that is killed with requests in progress at the end of its grace period.
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestCaller.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestCaller.java
@@ -31,6 +31,10 @@
 				.getBytes(StandardCharsets.US_ASCII));
 	}
 
+	boolean hasData() throws IOException {
+		return this.input.available() > 0;
+	}
+
 	Response receive() throws IOException {
 		String status = readLine();
 		List<String> headers = new ArrayList<>();
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
@@ -123,6 +123,22 @@
 		this.nodeStores.get(index).reject(rejecting);
 	}
 
+	/**
+	 * Keeps the event loop of a node busy.
+	 * @param index number of the node
+	 * @param milliseconds duration
+	 */
+	void block(int index, long milliseconds) {
+		this.nodeGroups.get(index).next().execute(() -> {
+			try {
+				TimeUnit.MILLISECONDS.sleep(milliseconds);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		});
+	}
+
 	void deregister(int index) throws Exception {
 		onNode(index, () -> {
 			this.nodes.get(index).handleDeregistration(this.backends.get(index).instance);
