Report an order as not run only if the refusal names it

Cause: the connection pool of the HTTP client assigns a repeated response to the call that uses the connection next. A repeated refusal without Wasabicart-Context was reported as not-run for an order that was running. Change: a refusal counts only if it names its call; otherwise the outcome of an order is unknown. The backend server stand-in returns the context of each request.

--- a/wasabicart-node/src/main/java/org/wasabicart/node/http/BackendCall.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/http/BackendCall.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -176,13 +177,18 @@
 
 	private void responseReceived(ReceivedResponse received) {
 		int status = received.response().status().intValue();
-		if (belongsToAnotherCall(received.response())) {
+		Optional<String> context = context(received.response());
+		boolean shed = isShed(received.response());
+		// A server may send a response twice. The pool assigns the second one to the call
+		// that uses the connection next. Only a shed response that names this call states
+		// that it has not run.
+		if (context.isPresent() ? !context.get().equals(this.runningContext.handle()) : shed) {
 			respond(isOrder() ? new Outcome.Unknown(FailureReason.INCOMPLETE_ANSWER)
 					: new Outcome.Failed(FailureReason.INCOMPLETE_ANSWER, this.runningContext.nestedFailed()),
 					List.of(), NO_BODY);
 			end(CallSample.Result.FAILED);
 		}
-		else if (isShed(received.response())) {
+		else if (shed) {
 			respond(new Outcome.Refused(RefusalReason.SHED, Duration.ofMillis(100)), List.of(), NO_BODY);
 			end(CallSample.Result.SHED);
 		}
@@ -197,13 +203,8 @@
 		}
 	}
 
-	// A server may send a response twice. The pool assigns the second one to the call
-	// that
-	// uses the connection next.
-	private boolean belongsToAnotherCall(HttpResponse response) {
-		return response.getHeader(HeaderNames.CONTEXT)
-			.filter((header) -> !header.value().strip().equals(this.runningContext.handle()))
-			.isPresent();
+	private static Optional<String> context(HttpResponse response) {
+		return response.getHeader(HeaderNames.CONTEXT).map((header) -> header.value().strip());
 	}
 
 	private static boolean isShed(HttpResponse response) {
--- a/wasabicart-node/src/test/java/org/wasabicart/node/RequestPathTests.java
+++ b/wasabicart-node/src/test/java/org/wasabicart/node/RequestPathTests.java
@@ -71,12 +71,25 @@
 	void shedOrderIsReportedAsNotRun() throws Exception {
 		try (RunningNode node = new RunningNode(4, (exchange) -> {
 			exchange.getResponseHeaders().add("Wasabicart-Shed", "not-run");
+			exchange.getResponseHeaders()
+				.add("Wasabicart-Context", exchange.getRequestHeaders().getFirst("Wasabicart-Context"));
 			RunningNode.respond(exchange, 503, "");
 		}).announce()) {
 			assertOutcome(node.send(HttpRequest.newBuilder(node.callerUri("/orders/7"))), 503, "not-run", "shed");
 		}
 	}
 
+	@Test
+	void shedOrderOfAServerThatDoesNotNameItIsNotReportedAsNotRun() throws Exception {
+		try (RunningNode node = new RunningNode(4, (exchange) -> {
+			exchange.getResponseHeaders().add("Wasabicart-Shed", "not-run");
+			RunningNode.respond(exchange, 503, "");
+		}).announce()) {
+			assertOutcome(node.send(HttpRequest.newBuilder(node.callerUri("/orders/7"))), 502, "unknown",
+					"incomplete-answer");
+		}
+	}
+
 	@Test
 	void deadlineCancelsTheCallAtTheBackendServer() throws Exception {
 		CountDownLatch release = new CountDownLatch(1);
--- a/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendServer.java
+++ b/wasabicart-standin/src/main/java/org/wasabicart/standin/backend/BackendServer.java
@@ -173,8 +173,7 @@
 	private void refuse(Run run, String result) {
 		if (run.end() == Run.State.WAITING) {
 			this.environment.history().write("refused", run, result);
-			run.response()
-				.complete(failureResponse(503, result).addHeader(RawHeader.create("Wasabicart-Shed", "not-run")));
+			respond(run, failureResponse(503, result).addHeader(RawHeader.create("Wasabicart-Shed", "not-run")));
 		}
 	}
 
@@ -219,9 +218,8 @@
 		if (this.behaviour.faults().silent()) {
 			return;
 		}
-		run.response()
-			.complete(result.equals("completed") ? successResponse(run)
-					: failureResponse(result.equals("error") ? 500 : 502, result));
+		respond(run, result.equals("completed") ? successResponse(run)
+				: failureResponse(result.equals("error") ? 500 : 502, result));
 	}
 
 	private void cancel(Run run) {
@@ -229,16 +227,23 @@
 		if (before == Run.State.WAITING) {
 			this.queue.removeWaiting(run);
 			this.environment.history().write("refused", run, "cancelled");
-			run.response()
-				.complete(failureResponse(503, "cancelled").addHeader(RawHeader.create("Wasabicart-Shed", "not-run")));
+			respond(run, failureResponse(503, "cancelled").addHeader(RawHeader.create("Wasabicart-Shed", "not-run")));
 		}
 		else if (before == Run.State.RUNNING) {
 			this.environment.history().write("end", run, "cancelled");
 			this.queue.release();
-			run.response().complete(failureResponse(503, "cancelled"));
+			respond(run, failureResponse(503, "cancelled"));
 		}
 	}
 
+	// The context tells the node which request a response belongs to.
+	private static void respond(Run run, HttpResponse response) {
+		String context = run.request().context();
+		run.response()
+			.complete(
+					context.isEmpty() ? response : response.addHeader(RawHeader.create("Wasabicart-Context", context)));
+	}
+
 	private HttpResponse successResponse(Run run) {
 		byte[] body = Answers.create(run.root(), run.path(), this.configuration.answerBytes());
 		return HttpResponse.create().withEntity(ContentTypes.TEXT_PLAIN_UTF8, body);
