Use another connection for a request id that was just used

Cause: responses are told apart by the request id, so a repeated refusal cannot be told from the response if the same id is sent again on its connection. Change: the pool does not reuse a connection whose previous request has the same id. Tests cover refusals that are repeated before, during and in place of the next response, and responses cut at every byte of the head, chunk sizes and trailers, with and without a reset. Result: the test for the same id cannot pass without the change; all other new tests passed on the unchanged code.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendConnection.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendConnection.java
@@ -42,6 +42,8 @@
 
 	private Exchange exchange;
 
+	private String previousRequestId;
+
 	private HttpResponse head;
 
 	private CompositeByteBuf body;
@@ -77,6 +79,7 @@
 	 */
 	void send(ByteBuf message, HttpMethod method, String requestId, Exchange.Listener listener) {
 		this.exchange = new Exchange(requestId, listener);
+		this.previousRequestId = requestId;
 		this.responseSkipped = false;
 		this.informationalResponses = 0;
 		this.decoder.expect(method);
@@ -99,6 +102,16 @@
 		return this.reusable && this.channel.isActive();
 	}
 
+	/**
+	 * Returns whether a response on this connection can be told from a repeated response
+	 * to an earlier request with the same id.
+	 * @param requestId id of the next request
+	 * @return whether the id differs from that of the previous request
+	 */
+	boolean usableFor(String requestId) {
+		return !requestId.equals(this.previousRequestId);
+	}
+
 	ByteBufAllocator allocator() {
 		return this.channel.alloc();
 	}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendPool.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendPool.java
@@ -58,10 +58,11 @@
 	/**
 	 * Provides an idle connection if there is one, otherwise a new one.
 	 * @param idempotent whether the request may be repeated
+	 * @param requestId id of the request
 	 * @param listener receives the connection; invoked before this returns if the
 	 * connection was idle
 	 */
-	void acquire(boolean idempotent, Listener listener) {
+	void acquire(boolean idempotent, String requestId, Listener listener) {
 		long now = System.nanoTime();
 		expire(now);
 		while (!this.idle.isEmpty()) {
@@ -69,7 +70,8 @@
 			if (!connection.usable()) {
 				continue;
 			}
-			if (!idempotent && now - connection.idleSince() > NON_IDEMPOTENT_IDLE_TIMEOUT) {
+			if (!connection.usableFor(requestId)
+					|| !idempotent && now - connection.idleSince() > NON_IDEMPOTENT_IDLE_TIMEOUT) {
 				this.idle.addFirst(connection);
 				break;
 			}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
@@ -409,7 +409,7 @@
 			this.admitted = true;
 			this.started = System.nanoTime();
 			LocalBackend.this.running.add(this);
-			LocalBackend.this.pool.acquire(this.call.idempotent(), this);
+			LocalBackend.this.pool.acquire(this.call.idempotent(), this.call.requestId(), this);
 		}
 
 		@Override
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendConnectionTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendConnectionTests.java
@@ -1,5 +1,6 @@
 package org.wasabicart.mesh;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -8,6 +9,8 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpMethod;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -20,6 +23,9 @@
 
 	private final List<String> outcomes = new ArrayList<>();
 
+	/** Request that is sent as soon as the first one has its response. */
+	private String nextRequest;
+
 	private final BackendResponseDecoder decoder = new BackendResponseDecoder();
 
 	private final BackendConnection connection = new BackendConnection("Id", this.decoder, (idle) -> {
@@ -33,6 +39,11 @@
 			public void answered(BackendResponse response) {
 				BackendConnectionTests.this.outcomes
 					.add(response.head().status().code() + " " + new String(response.body(), StandardCharsets.UTF_8));
+				if (BackendConnectionTests.this.nextRequest != null) {
+					String next = BackendConnectionTests.this.nextRequest;
+					BackendConnectionTests.this.nextRequest = null;
+					send(next);
+				}
 			}
 
 			@Override
@@ -46,6 +57,12 @@
 		this.channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
 	}
 
+	private void receiveInParts(String text, int partLength) {
+		for (int start = 0; start < text.length(); start += partLength) {
+			receive(text.substring(start, Math.min(text.length(), start + partLength)));
+		}
+	}
+
 	private static String response(String id, String body) {
 		return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
 	}
@@ -106,7 +123,7 @@
 	void responseWithoutLengthFailsWhenTheConnectionIsReset() {
 		send("a");
 		receive("HTTP/1.1 200 OK\r\nId: a\r\n\r\npart");
-		this.channel.pipeline().fireExceptionCaught(new java.io.IOException("Connection reset"));
+		this.channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
 		assertThat(this.outcomes).containsExactly("connection-reset");
 	}
 
@@ -171,6 +188,115 @@
 		assertEndlessResponseFails("", "\r\n");
 	}
 
+	private static final String REFUSAL_WITHOUT_ID = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
+			+ "Content-Length: 0\r\n\r\n";
+
+	private static String refusal(String id) {
+		return "HTTP/1.1 503 Service Unavailable\r\nId: " + id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+	}
+
+	static List<String> repeatedRefusals() {
+		return List.of(refusal("a"), REFUSAL_WITHOUT_ID, refusal("a").replace("503 Service Unavailable", "429 x"),
+				refusal("a").replace("503 Service Unavailable", "421 x"),
+				REFUSAL_WITHOUT_ID.replace("503 Service Unavailable", "421 x"));
+	}
+
+	@ParameterizedTest
+	@MethodSource("repeatedRefusals")
+	void refusalRepeatedBeforeTheNextRequestClosesTheConnection(String repeated) {
+		send("a");
+		receive(refusal("a"));
+		receive(repeated);
+		assertThat(this.outcomes).containsExactly("503 ");
+		assertThat(this.connection.usable()).isFalse();
+	}
+
+	@ParameterizedTest
+	@MethodSource("repeatedRefusals")
+	void refusalRepeatedDuringTheNextRequestIsNotItsResponse(String repeated) {
+		send("a");
+		receive(refusal("a"));
+		send("b");
+		receive(repeated + response("b", "second"));
+		assertThat(this.outcomes).containsExactly("503 ", "200 second");
+		assertThat(this.connection.usable()).isFalse();
+	}
+
+	@ParameterizedTest
+	@MethodSource("repeatedRefusals")
+	void refusalRepeatedInPlaceOfTheNextResponseLeavesItsOutcomeUnknown(String repeated) {
+		send("a");
+		receive(refusal("a"));
+		send("b");
+		receive(repeated);
+		this.channel.close();
+		assertThat(this.outcomes).containsExactly("503 ", "connection-closed");
+	}
+
+	@ParameterizedTest
+	@MethodSource("repeatedRefusals")
+	void refusalRepeatedInTheSegmentOfTheFirstIsNotTheResponseToTheNextRequest(String repeated) {
+		// The pool may use the connection again while the rest of the segment is
+		// decoded.
+		this.nextRequest = "b";
+		send("a");
+		receive(refusal("a") + repeated);
+		this.channel.close();
+		assertThat(this.outcomes).containsExactly("503 ", "connection-closed");
+	}
+
+	@Test
+	void refusalOfAnEarlierAttemptIsNotTheResponseToTheSameRequestSentAgain() {
+		send("a");
+		receive(refusal("a"));
+		assertThat(this.connection.usableFor("a")).isFalse();
+		assertThat(this.connection.usableFor("b")).isTrue();
+	}
+
+	private static final String HEAD = "HTTP/1.1 200 OK\r\nSignature: s\r\nId: a\r\n";
+
+	static List<String> framedResponses() {
+		return List.of(HEAD + "Content-Length: 10\r\n\r\n0123456789", HEAD + "Content-Length: 0\r\n\r\n",
+				HEAD + "Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\na;x=y\r\n0123456789\r\n0\r\n\r\n",
+				HEAD + "Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n0\r\nTrailer: t\r\nOther: u\r\n\r\n",
+				"HTTP/1.1 100 Continue\r\n\r\n" + HEAD + "Content-Length: 3\r\n\r\n012");
+	}
+
+	@ParameterizedTest
+	@MethodSource("framedResponses")
+	void responseCutAtAnyByteIsNotDelivered(String response) {
+		for (int length = 0; length < response.length(); length++) {
+			for (boolean reset : new boolean[] { false, true }) {
+				for (boolean single : new boolean[] { false, true }) {
+					BackendConnectionTests cut = new BackendConnectionTests();
+					cut.send("a");
+					cut.receiveInParts(response.substring(0, length), single ? 1 : length);
+					if (reset) {
+						cut.channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+					}
+					cut.channel.close();
+					assertThat(cut.outcomes).as("first %d bytes, reset %s", length, reset)
+						.hasSize(1)
+						.noneMatch((outcome) -> outcome.startsWith("200"));
+				}
+			}
+		}
+	}
+
+	@Test
+	void responseWithoutLengthCutInItsHeadIsNotDelivered() {
+		String response = HEAD + "\r\n";
+		for (int length = 0; length < response.length(); length++) {
+			BackendConnectionTests cut = new BackendConnectionTests();
+			cut.send("a");
+			cut.receive(response.substring(0, length));
+			cut.channel.close();
+			assertThat(cut.outcomes).as("first %d bytes", length)
+				.hasSize(1)
+				.noneMatch((outcome) -> outcome.startsWith("200"));
+		}
+	}
+
 	@Test
 	void responseThatIsNotHttpFails() {
 		send("a");
