--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MeshMember.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MeshMember.java
@@ -17,12 +17,16 @@
  * @param region region of the failure domain
  * @param service service of the server
  * @param incarnation run of the server
- * @param slots requests that the server runs at the same time
+ * @param slots requests that the server runs at the same time, 1 to
+ * {@link #MAXIMUM_SLOTS}
  * @param state whether the server takes new work
  */
 public record MeshMember(NodeId node, NodeAddress address, FailureDomain failureDomain, RegionName region,
 		ServiceName service, BackendIncarnation incarnation, int slots, ServerState state) {
 
+	/** Largest number of slots that a server may announce. */
+	public static final int MAXIMUM_SLOTS = 1_000_000;
+
 	public MeshMember {
 		Objects.requireNonNull(node, "node");
 		Objects.requireNonNull(address, "address");
@@ -31,8 +35,8 @@
 		Objects.requireNonNull(service, "service");
 		Objects.requireNonNull(incarnation, "incarnation");
 		Objects.requireNonNull(state, "state");
-		if (slots < 1) {
-			throw new IllegalArgumentException("slots of a server must be at least 1: " + incarnation);
+		if (slots < 1 || slots > MAXIMUM_SLOTS) {
+			throw new IllegalArgumentException("slots of a server are out of range: " + slots);
 		}
 	}
 
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MemberEntries.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MemberEntries.java
@@ -56,8 +56,20 @@
 		return entry.getDraining() ? ServerState.DRAINING : ServerState.READY;
 	}
 
-	static MeshMember toMember(byte[] value) throws InvalidProtocolBufferException {
-		return toMember(MeshMemberEntry.parseFrom(value));
+	/**
+	 * Converts the value of an entry to the server that it describes.
+	 * @param name name of the node in the key of the entry
+	 * @param value value
+	 * @return the server
+	 * @throws InvalidProtocolBufferException if the value is not an entry
+	 * @throws IllegalArgumentException if a field is not valid
+	 */
+	static MeshMember toMember(String name, byte[] value) throws InvalidProtocolBufferException {
+		MeshMember member = toMember(MeshMemberEntry.parseFrom(value));
+		if (!member.node().value().equals(name)) {
+			throw new IllegalArgumentException("Entry of another node: " + member.node());
+		}
+		return member;
 	}
 
 }
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -7,11 +7,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -121,6 +121,8 @@
 
 	private final MemberEntryPublisher entryPublisher;
 
+	private final MemberEntryReader entryReader;
+
 	private final PrefixWatch memberWatch;
 
 	private final PrefixWatch configurationWatch;
@@ -190,6 +192,7 @@
 		this.configurationCatchUp = new ConfigurationCatchUp(this::isNewer, this::readStoredConfiguration,
 				this::applyConfigurationOfPeer, this.peers::pingAll);
 		this.nodeCalls = new NodeCalls(() -> this.configurationValue, this.localBackend::restore);
+		this.entryReader = new MemberEntryReader(storeKeys.memberPrefix());
 		this.memberWatch = new PrefixWatch(this.store, eventLoop, storeKeys.memberPrefix(), MEMBER_BATCH_DELAY,
 				this::replaceMembers, this::applyMemberChanges);
 		this.configurationWatch = new PrefixWatch(this.store, eventLoop, storeKeys.configurationKey(),
@@ -219,7 +222,8 @@
 		this.configurationWatch.start();
 		this.memberWatch.start();
 		this.entryPublisher.start();
-		this.eventLoop.scheduleWithFixedDelay(this::tick, TICK_MILLISECONDS, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+		this.eventLoop.scheduleWithFixedDelay(new GuardedTask("tick", this::tick), TICK_MILLISECONDS, TICK_MILLISECONDS,
+				TimeUnit.MILLISECONDS);
 		logger.infof("event=node-started node=%s failure_domain=%s region=%s service=%s", this.settings.nodeId(),
 				this.settings.failureDomain(), this.settings.region(), this.settings.service());
 	}
@@ -386,14 +390,12 @@
 		List<MeshMember> members = new ArrayList<>();
 		boolean ownEntryFound = false;
 		for (MeshStore.StoredItem item : items.items()) {
-			MeshMember member = decodeMember(item);
-			if (member != null) {
-				members.add(member);
-				if (member.node().equals(this.settings.nodeId())) {
-					ownEntryFound = true;
-					this.entryPublisher.entryObserved(item.position());
-					this.localBackend.restore(member);
-				}
+			Optional<MeshMember> member = this.entryReader.read(item);
+			member.ifPresent(members::add);
+			if (member.isPresent() && isOwnEntry(item)) {
+				ownEntryFound = true;
+				this.entryPublisher.entryObserved(item.position());
+				this.localBackend.restore(member.get());
 			}
 		}
 		this.peers.updateMembers(members);
@@ -413,17 +415,14 @@
 	private void applyMemberChanges(MeshStore.StoredItems items) {
 		for (MeshStore.StoredItem item : items.items()) {
 			if (item.value() == null) {
-				removeMember(item.key().substring(this.storeKeys.memberPrefix().length()));
+				removeMember(this.entryReader.nodeName(item));
 				continue;
 			}
 			if (isOwnEntry(item)) {
 				this.entryPublisher.entryObserved(item.position());
 				continue;
 			}
-			MeshMember member = decodeMember(item);
-			if (member != null) {
-				this.peers.announced(member);
-			}
+			this.entryReader.read(item).ifPresent(this.peers::announced);
 		}
 	}
 
@@ -440,17 +439,6 @@
 		}
 	}
 
-	private MeshMember decodeMember(MeshStore.StoredItem item) {
-		try {
-			return MemberEntries.toMember(item.value());
-		}
-		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
-			logger.warnf("event=entry-unreadable key=%s revision=%d reason=\"%s\"", item.key(),
-					item.position().revision(), ex.getMessage());
-			return null;
-		}
-	}
-
 	private long receiveDelay() {
 		long now = System.nanoTime();
 		if (this.pauseDetector.observe(now, System.currentTimeMillis())) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/NodeCalls.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/NodeCalls.java
@@ -11,6 +11,7 @@
 import org.jboss.logging.Logger;
 
 import org.wasabicart.core.mesh.MeshMember;
+import org.wasabicart.wire.generated.mesh.MeshMemberEntry;
 
 /**
  * Calls that a node answers itself, without its backend server. Such a call names no
@@ -84,11 +85,11 @@
 
 	private boolean acceptMember(byte[] entry) {
 		try {
-			this.memberListener.accept(MemberEntries.toMember(entry));
+			this.memberListener.accept(MemberEntries.toMember(MeshMemberEntry.parseFrom(entry)));
 			return true;
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
-			logger.warnf("event=member-report-unreadable reason=\"%s\"", ex.getMessage());
+			logger.warnf("event=member-report-unreadable reason=\"%s\"", LogReason.of(ex));
 			return false;
 		}
 	}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/PrefixWatch.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/PrefixWatch.java
@@ -102,7 +102,7 @@
 			if (this.position == null || items.position().revision() > this.position.revision()) {
 				this.position = items.position();
 			}
-			listener.accept(items);
+			new GuardedTask("changes " + this.prefix, () -> listener.accept(items)).run();
 			schedule(this.batchDelay.toMillis());
 			return;
 		}
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/PrefixWatchTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/PrefixWatchTests.java
@@ -1,7 +1,9 @@
 package org.wasabicart.mesh;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -23,12 +25,24 @@
 
 	private final List<String> events = new ArrayList<>();
 
+	private final Deque<Throwable> listenerFailures = new ArrayDeque<>();
+
 	private final MeshStore checkedStore = new EraCheckedStore(this.store, (era, restored) -> {
 	});
 
 	private final PrefixWatch watch = new PrefixWatch(this.checkedStore, this.channel.eventLoop(), "p",
-			Duration.ofMillis(150), (items) -> this.events.add("all " + items.items().size()),
-			(items) -> this.events.add("changes " + items.items().size()));
+			Duration.ofMillis(150), (items) -> record("all", items), (items) -> record("changes", items));
+
+	private void record(String event, MeshStore.StoredItems items) {
+		Throwable failure = this.listenerFailures.poll();
+		if (failure instanceof Error error) {
+			throw error;
+		}
+		if (failure instanceof RuntimeException exception) {
+			throw exception;
+		}
+		this.events.add(event + " " + items.items().size());
+	}
 
 	// Advances in small steps, since a task that is due may schedule the next one.
 	private void advanceTime(long milliseconds) {
@@ -79,6 +93,20 @@
 		assertThat(this.store.calls).containsExactly("list", "watch 10", "get", "list");
 	}
 
+	@Test
+	void watchGoesOnAfterItsListenerHasFailed() {
+		this.listenerFailures.add(new IllegalStateException("test"));
+		this.listenerFailures.add(new StackOverflowError("test"));
+		this.watch.start();
+		advanceTime(200);
+		this.store.put("p/first", new byte[1]);
+		advanceTime(200);
+		this.store.put("p/second", new byte[1]);
+		advanceTime(200);
+		assertThat(this.listenerFailures).isEmpty();
+		assertThat(this.events).containsExactly("changes 1");
+	}
+
 	@Test
 	void failedWatchIsRetriedWithinASecond() {
 		this.watch.start();
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/RestoredStoreTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/RestoredStoreTests.java
@@ -85,12 +85,12 @@
 
 	@Test
 	void delayedWriteThatReplacesTheEntryOfANodeIsOverwritten() throws Exception {
-		MeshMember current = MemberEntries.toMember(this.fleet.store.items.get("members/n1").value());
+		MeshMember current = MemberEntries.toMember("n1", this.fleet.store.items.get("members/n1").value());
 		MeshMember outdated = new MeshMember(current.node(), current.address(), current.failureDomain(),
 				current.region(), current.service(), current.incarnation(), current.slots() + 1, ServerState.READY);
 		this.fleet.store.put("members/n1", MemberEntries.toEntry(outdated).toByteArray());
 		TimeUnit.MILLISECONDS.sleep(1500);
-		assertThat(MemberEntries.toMember(this.fleet.store.items.get("members/n1").value())).isEqualTo(current);
+		assertThat(MemberEntries.toMember("n1", this.fleet.store.items.get("members/n1").value())).isEqualTo(current);
 	}
 
 	@Test
