Give each test process a loopback address of its own

Cause: an address was found by opening and closing a port of 127.0.0.1, which another test process could take before the node listened on it. Seen again in ForeignEntryTests: Cannot listen on localhost/127.0.0.1:17142. PeerTests passes an IP address, as a member must have one.

--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/PeerTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/PeerTests.java
@@ -73,9 +73,9 @@
 	}
 
 	private static MeshMember member(InetSocketAddress address) {
-		return new MeshMember(new NodeId("n"), new NodeAddress(address.getHostString(), address.getPort()),
-				new FailureDomain("d"), new RegionName("r"), new ServiceName("s"), new BackendIncarnation("i", 1), 10,
-				ServerState.READY);
+		return new MeshMember(new NodeId("n"),
+				new NodeAddress(address.getAddress().getHostAddress(), address.getPort()), new FailureDomain("d"),
+				new RegionName("r"), new ServiceName("s"), new BackendIncarnation("i", 1), 10, ServerState.READY);
 	}
 
 }
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
@@ -73,9 +73,10 @@
 		for (int i = 0; i < services.size(); i++) {
 			MeshSettings nodeSettings = this.settings.get(i);
 			MeshMember member = new MeshMember(nodeSettings.nodeId(),
-					new NodeAddress(HOST, nodeSettings.linkAddress().getPort()), nodeSettings.failureDomain(),
-					nodeSettings.region(), nodeSettings.service(), new BackendIncarnation("i-" + i, 1), 20,
-					ServerState.READY);
+					new NodeAddress(nodeSettings.linkAddress().getAddress().getHostAddress(),
+							nodeSettings.linkAddress().getPort()),
+					nodeSettings.failureDomain(), nodeSettings.region(), nodeSettings.service(),
+					new BackendIncarnation("i-" + i, 1), 20, ServerState.READY);
 			String key = "members/" + nodeSettings.nodeId();
 			this.store.put(key, MemberEntries.toEntry(member).toByteArray());
 		}
@@ -139,6 +140,16 @@
 		});
 	}
 
+	/**
+	 * Returns the number of services that a node knows from other nodes.
+	 * @param index number of the node
+	 * @return the number
+	 * @throws Exception if the node does not answer
+	 */
+	int knownServices(int index) throws Exception {
+		return onNode(index, this.nodes.get(index)::knownServices);
+	}
+
 	void deregister(int index) throws Exception {
 		onNode(index, () -> {
 			this.nodes.get(index).handleDeregistration(this.backends.get(index).instance);
