Send probes instead of calls while the store rejects a node

Cause: two watches and the entry of each node repeated their calls every 0.2 to 0.8 s while the store rejected it, and each renewal that failed started a further series of renewals. All nodes read the store when a link reported a new version, although their own watch delivers it. Change: calls are held back after one without an answer, and a read that may be outdated, at a tenth of the price, is repeated until it is answered; then the held calls are sent. A reported version is read only if the watch has not delivered it after 300 ms. Changes of members are collected for 1 s instead of 0.5 s.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ConfigurationCatchUp.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ConfigurationCatchUp.java
@@ -18,6 +18,8 @@
 
 	private final LongPredicate newer;
 
+	private final Consumer<Runnable> delay;
+
 	private final Consumer<Runnable> readStore;
 
 	private final Consumer<byte[]> valueListener;
@@ -35,15 +37,18 @@
 	/**
 	 * Creates an instance.
 	 * @param newer returns whether a version is newer than the one in force
+	 * @param delay runs its argument after the time in which the watch of this node
+	 * usually delivers a version that other nodes have
 	 * @param readStore reads and applies the configuration of the store, and runs its
 	 * argument at the end, also after a failure
 	 * @param valueListener receives a configuration of another node
 	 * @param findSources asks other nodes for their versions, since no node that can be
 	 * read has reported a newer one
 	 */
-	ConfigurationCatchUp(LongPredicate newer, Consumer<Runnable> readStore, Consumer<byte[]> valueListener,
-			Runnable findSources) {
+	ConfigurationCatchUp(LongPredicate newer, Consumer<Runnable> delay, Consumer<Runnable> readStore,
+			Consumer<byte[]> valueListener, Runnable findSources) {
 		this.newer = Objects.requireNonNull(newer, "newer");
+		this.delay = Objects.requireNonNull(delay, "delay");
 		this.readStore = Objects.requireNonNull(readStore, "readStore");
 		this.valueListener = Objects.requireNonNull(valueListener, "valueListener");
 		this.findSources = Objects.requireNonNull(findSources, "findSources");
@@ -74,8 +79,17 @@
 			this.inProgress = true;
 			this.sourceAsked = false;
 			this.latestVersion = version;
+			this.delay.accept(this::readNewest);
+		}
+	}
+
+	private void readNewest() {
+		if (this.newer.test(this.latestVersion)) {
 			this.readStore.accept(this::readNextSource);
 		}
+		else {
+			readNextSource();
+		}
 	}
 
 	private void readNextSource() {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EraCheckedStore.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EraCheckedStore.java
@@ -135,6 +135,11 @@
 		return checkWithin(lease.era(), this.store.renewLease(lease), (renewed) -> renewed);
 	}
 
+	@Override
+	public CompletableFuture<Void> probe() {
+		return this.store.probe();
+	}
+
 	/**
 	 * Receives the eras of the store.
 	 */
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MemberEntryPublisher.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MemberEntryPublisher.java
@@ -42,6 +42,10 @@
 
 	private boolean callInProgress;
 
+	private boolean renewalInProgress;
+
+	private boolean renewalScheduled;
+
 	private boolean storedEntryUnknown;
 
 	/** Latest position at which the store has reported this entry; null if none. */
@@ -112,8 +116,13 @@
 			reconcile();
 			return;
 		}
+		if (this.renewalInProgress) {
+			return;
+		}
+		this.renewalInProgress = true;
 		StoreLease renewed = this.lease;
 		this.store.renewLease(renewed).whenComplete((result, failure) -> {
+			this.renewalInProgress = false;
 			if (isLeaseInvalid(failure)) {
 				if (renewed.equals(this.lease)) {
 					logger.infof("event=entry-lapsed key=%s", this.key);
@@ -125,11 +134,22 @@
 			}
 			else if (failure != null) {
 				logger.debugf("event=lease-not-renewed reason=\"%s\"", failure.getMessage());
-				this.eventLoop.schedule(this::renew, RETRY_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS);
+				scheduleRenewal();
 			}
 		});
 	}
 
+	// Renewals that fail while a repeated one is scheduled must not add further ones.
+	private void scheduleRenewal() {
+		if (!this.renewalScheduled) {
+			this.renewalScheduled = true;
+			this.eventLoop.schedule(() -> {
+				this.renewalScheduled = false;
+				renew();
+			}, RETRY_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS);
+		}
+	}
+
 	private static boolean isLeaseInvalid(Throwable failure) {
 		return failure instanceof MeshStoreException ex
 				&& (ex.kind() == MeshStoreException.Kind.LEASE_ENDED || ex.kind() == MeshStoreException.Kind.RESTORED);
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -44,13 +44,21 @@
 
 	/**
 	 * Delay that collects membership changes, which come in groups, to save store calls.
-	 * The node of a draining server refuses calls itself, without this information.
+	 * The node of a draining server refuses calls itself, without this information, and a
+	 * new server may take work two seconds after its entry.
 	 */
-	private static final Duration MEMBER_BATCH_DELAY = Duration.ofMillis(500);
+	private static final Duration MEMBER_BATCH_DELAY = Duration.ofSeconds(1);
 
 	/** Delay that collects changes, each of which must take effect within two seconds. */
 	private static final Duration CONFIGURATION_BATCH_DELAY = Duration.ofMillis(150);
 
+	/**
+	 * Time in which the watch delivers a version that other nodes have. Each change is
+	 * reported by many nodes, and reading it at once would add a call for each change and
+	 * node.
+	 */
+	private static final long WATCH_DELAY_MILLISECONDS = 300;
+
 	/** Version in the ping of a node that has no configuration. */
 	private static final long NO_VERSION = 0;
 
@@ -105,6 +113,8 @@
 
 	private final ConfigurationDecoder decoder;
 
+	private final ProbedStore probedStore;
+
 	private final MeshStore store;
 
 	private final MeshMetrics metrics;
@@ -173,8 +183,9 @@
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.storeKeys = Objects.requireNonNull(storeKeys, "storeKeys");
 		this.decoder = Objects.requireNonNull(decoder, "decoder");
-		this.store = new EraCheckedStore(store, this::storeEraStarted);
 		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
+		this.probedStore = new ProbedStore(store, eventLoop, random);
+		this.store = new EraCheckedStore(this.probedStore, this::storeEraStarted);
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		this.random = Objects.requireNonNull(random, "random");
 		IncarnationRecords incarnationRecords = new IncarnationRecords();
@@ -189,8 +200,8 @@
 				this.destinations, this.limits, metrics, new DecisionLog(), this::receiveDelay);
 		this.entryPublisher = new MemberEntryPublisher(this.store, eventLoop,
 				storeKeys.memberPrefix() + settings.nodeId());
-		this.configurationCatchUp = new ConfigurationCatchUp(this::isNewer, this::readStoredConfiguration,
-				this::applyConfigurationOfPeer, this.peers::pingAll);
+		this.configurationCatchUp = new ConfigurationCatchUp(this::isNewer, this::awaitWatch,
+				this::readStoredConfiguration, this::applyConfigurationOfPeer, this.peers::pingAll);
 		this.nodeCalls = new NodeCalls(() -> this.configurationValue, this.localBackend::restore);
 		this.entryReader = new MemberEntryReader(storeKeys.memberPrefix());
 		this.memberWatch = new PrefixWatch(this.store, eventLoop, storeKeys.memberPrefix(), MEMBER_BATCH_DELAY,
@@ -282,7 +293,7 @@
 		return this.metrics;
 	}
 
-	private int knownServices() {
+	int knownServices() {
 		return this.peers.serviceCount();
 	}
 
@@ -301,7 +312,10 @@
 	}
 
 	private MeshPing ownPing() {
-		MeshPing.Builder ping = MeshPing.newBuilder().setAcknowledgement(true).setStopping(this.stopping);
+		MeshPing.Builder ping = MeshPing.newBuilder()
+			.setAcknowledgement(true)
+			.setStopping(this.stopping)
+			.setStoreAway(this.probedStore.away());
 		MeshConfiguration current = this.router.configuration();
 		if (current != null) {
 			ping.setConfigurationVersion(current.version());
@@ -323,6 +337,11 @@
 		return version != NO_VERSION && (current == null || Long.compareUnsigned(version, current.version()) > 0);
 	}
 
+	private void awaitWatch(Runnable task) {
+		long delay = this.configurationWatch.reachable() ? WATCH_DELAY_MILLISECONDS : 0;
+		this.eventLoop.schedule(task, delay, TimeUnit.MILLISECONDS);
+	}
+
 	private void readStoredConfiguration(Runnable end) {
 		if (!this.configurationWatch.reachable()) {
 			end.run();
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshStore.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshStore.java
@@ -57,11 +57,18 @@
 	 */
 	CompletableFuture<StoreEra> renewLease(StoreLease lease);
 
+	/**
+	 * Checks whether the store serves this node, with the least expensive call. The
+	 * answer may come from an outdated copy and says nothing about the data.
+	 * @return ends without an error if the store has answered
+	 */
+	CompletableFuture<Void> probe();
+
 	/**
 	 * One key with its value.
 	 *
 	 * @param key key
-	 * @param value value, or null if the key is absent
+	 * @param value value, or null if the key is absent; empty if it cannot be decoded
 	 * @param position position of the last change
 	 */
 	record StoredItem(String key, byte[] value, StorePosition position) {
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/ConfigurationCatchUpTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/ConfigurationCatchUpTests.java
@@ -21,8 +21,19 @@
 
 	private Runnable storeCallEnd;
 
+	private boolean delayed;
+
+	private Runnable delayedTask;
+
 	private final ConfigurationCatchUp catchUp = new ConfigurationCatchUp((version) -> version > this.inForce,
-			(end) -> {
+			(task) -> {
+				if (this.delayed) {
+					this.delayedTask = task;
+				}
+				else {
+					task.run();
+				}
+			}, (end) -> {
 				this.events.add("store");
 				this.storeCallEnd = end;
 			}, (value) -> this.inForce = Math.max(this.inForce, value[0]), () -> this.events.add("find"));
@@ -63,6 +74,19 @@
 		assertThat(this.inForce).isEqualTo(2);
 	}
 
+	@Test
+	void versionThatTheWatchDeliversInTheMeantimeCausesNoCall() {
+		this.delayed = true;
+		this.catchUp.versionReported(2, source("a", 2));
+		this.inForce = 2;
+		this.delayedTask.run();
+		assertThat(this.events).isEmpty();
+		this.catchUp.versionReported(3, source("b", 3));
+		this.delayedTask.run();
+		endStoreCall();
+		assertThat(this.events).containsExactly("store", "b");
+	}
+
 	@Test
 	void versionInForceCausesNoCall() {
 		this.catchUp.versionReported(1, source("a", 1));
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/FakeMeshStore.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/FakeMeshStore.java
@@ -218,6 +218,11 @@
 		return respond("renew", this.era);
 	}
 
+	@Override
+	public synchronized CompletableFuture<Void> probe() {
+		return respond("probe", null);
+	}
+
 	/**
 	 * Copy of the data of the store.
 	 *
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/NodeStore.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/NodeStore.java
@@ -106,4 +106,9 @@
 		return onEventLoop(() -> this.store.renewLease(lease));
 	}
 
+	@Override
+	public CompletableFuture<Void> probe() {
+		return onEventLoop(this.store::probe);
+	}
+
 }
