Keep servers whose node runs without the store

Cause: a node whose entry expired while the store rejected it, and served the others, was removed after 2.5 s although its link answered. Change: pings say whether the store serves the sender. The time after which a node without an entry is removed starts when the store serves it again, or when its link is lost.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
@@ -43,6 +43,8 @@
 
 	private boolean removed;
 
+	private boolean storeAway;
+
 	private long nextConnect;
 
 	private long reconnectDelay = MINIMUM_RECONNECT_DELAY;
@@ -79,6 +81,15 @@
 		};
 	}
 
+	/**
+	 * Returns whether the node runs although the store does not serve it, so that it
+	 * cannot maintain its entry.
+	 * @return whether the node has said so, and its link answers
+	 */
+	boolean runsWithoutStore() {
+		return this.storeAway && this.status.reachable();
+	}
+
 	void tick(long now) {
 		if (this.link != null) {
 			this.link.tick(now);
@@ -141,6 +152,7 @@
 	@Override
 	public void pingReceived(MeshPing ping) {
 		this.status.nodeStopping(ping.getStopping());
+		this.storeAway = ping.getStoreAway();
 		this.environment.pingListener().pingReceived(ping, this::readConfiguration);
 	}
 
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peers.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peers.java
@@ -25,7 +25,9 @@
 
 	/**
 	 * Time for which a node stays in use without a store entry. An entry that expired
-	 * during a failure of the store is written again within two seconds.
+	 * during a failure of the store is written again within two seconds after the store
+	 * serves its node again. The time starts then if the node says over its link that the
+	 * store does not serve it: its server can still take calls.
 	 */
 	private static final long MISSING_ENTRY_TIMEOUT = TimeUnit.MILLISECONDS.toNanos(2500);
 
@@ -36,6 +38,11 @@
 	 */
 	private static final long RESTORE_GRACE = MemberEntryPublisher.LEASE_TIME_TO_LIVE.toNanos();
 
+	/**
+	 * Interval at which nodes without an entry are asked whether the store serves them.
+	 */
+	private static final long MISSING_PING_INTERVAL = TimeUnit.MILLISECONDS.toNanos(500);
+
 	private final NodeId self;
 
 	private final PeerEnvironment environment;
@@ -46,6 +53,8 @@
 
 	private final Map<ServiceName, List<MemberStatus>> byService = new HashMap<>();
 
+	private long lastMissingPing = System.nanoTime();
+
 	private long restoreGraceEnd = System.nanoTime();
 
 	Peers(NodeId self, PeerEnvironment environment) {
@@ -158,6 +167,11 @@
 	}
 
 	void tick(long now, boolean storeReachable) {
+		this.missingSince.replaceAll((node, since) -> this.peers.get(node).runsWithoutStore() ? now : since);
+		if (!this.missingSince.isEmpty() && now - this.lastMissingPing > MISSING_PING_INTERVAL) {
+			this.lastMissingPing = now;
+			this.missingSince.keySet().forEach((node) -> this.peers.get(node).ping());
+		}
 		if (storeReachable && now - this.restoreGraceEnd >= 0) {
 			List<NodeId> expired = this.missingSince.entrySet()
 				.stream()
