Bound the pings that a node sends on idle links

Change: a node sends at most 16 such pings a second; up to 32 links the interval stays 2 s. LinkTests and PeerTests pass the former interval.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ClientLink.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ClientLink.java
@@ -33,9 +33,6 @@
 	/** Time after an unanswered ping at which the link is silent; several round trips. */
 	private static final long PING_TIMEOUT = TimeUnit.MILLISECONDS.toNanos(600);
 
-	/** Time without received data, without calls, after which a ping is sent. */
-	private static final long IDLE_PING_DELAY = TimeUnit.SECONDS.toNanos(2);
-
 	private final Map<Long, Stream> streams = new HashMap<>();
 
 	private final Supplier<MeshPing> ownPing;
@@ -96,14 +93,16 @@
 	/**
 	 * Sends a ping when one is due and checks that the other node responds.
 	 * @param now current time in nanoseconds
+	 * @param idlePingDelay time in nanoseconds without received data, and without calls,
+	 * after which a ping is sent
 	 */
-	void tick(long now) {
+	void tick(long now, long idlePingDelay) {
 		long sinceLastRead = now - this.lastRead;
 		if (this.pingOutstanding && now - this.pingSent > PING_TIMEOUT && sinceLastRead > PING_TIMEOUT) {
 			handleSilentLink();
 			return;
 		}
-		long pingDelay = this.streams.isEmpty() ? IDLE_PING_DELAY : PING_DELAY;
+		long pingDelay = this.streams.isEmpty() ? idlePingDelay : PING_DELAY;
 		if (!this.pingOutstanding && sinceLastRead > pingDelay) {
 			sendPing(now);
 		}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
@@ -90,9 +90,9 @@
 		return this.storeAway && this.status.reachable();
 	}
 
-	void tick(long now) {
+	void tick(long now, long idlePingDelay) {
 		if (this.link != null) {
-			this.link.tick(now);
+			this.link.tick(now, idlePingDelay);
 		}
 		else if (!this.connecting && !this.removed && now - this.nextConnect >= 0) {
 			connect();
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peers.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peers.java
@@ -77,7 +77,7 @@
 					member.instance(), member.state());
 			peer = new Peer(member, this.environment);
 			this.peers.put(member.node(), peer);
-			peer.tick(System.nanoTime());
+			peer.tick(System.nanoTime(), IdlePings.MINIMUM_DELAY);
 			rebuildServiceIndex();
 		}
 		else if (!peer.status().member().equals(member)) {
@@ -180,8 +180,9 @@
 				.toList();
 			expired.forEach(this::remove);
 		}
+		long idlePingDelay = IdlePings.delay(this.peers.size());
 		for (Peer peer : this.peers.values()) {
-			peer.tick(now);
+			peer.tick(now, idlePingDelay);
 		}
 	}
 
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
@@ -80,7 +80,7 @@
 		EmbeddedChannel server = new EmbeddedChannel(new ServerLink(localBackend(), nodeCalls(),
 				() -> MeshPing.newBuilder().setAcknowledgement(true).build(), (ping) -> {
 				}, new HashSet<>(), () -> 0));
-		this.link.tick(System.nanoTime() + TimeUnit.SECONDS.toNanos(3));
+		this.link.tick(System.nanoTime() + TimeUnit.SECONDS.toNanos(3), IdlePings.MINIMUM_DELAY);
 		MeshFrame ping = this.channel.readOutbound();
 		server.writeInbound(ping);
 		MeshFrame acknowledgement = server.readOutbound();
@@ -94,8 +94,8 @@
 		send("order", false);
 		send("lookup", true);
 		long now = System.nanoTime();
-		this.link.tick(now + TimeUnit.SECONDS.toNanos(1));
-		this.link.tick(now + TimeUnit.SECONDS.toNanos(2));
+		this.link.tick(now + TimeUnit.SECONDS.toNanos(1), IdlePings.MINIMUM_DELAY);
+		this.link.tick(now + TimeUnit.SECONDS.toNanos(2), IdlePings.MINIMUM_DELAY);
 		assertThat(this.events).containsExactly("silent", "lookup Failed");
 		this.channel.writeInbound(MeshFrame.newBuilder()
 			.setReply(MeshReply.newBuilder()
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/PeerTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/PeerTests.java
@@ -47,7 +47,7 @@
 					new PeerEnvironment(eventLoop, MeshPing::getDefaultInstance, (ping, source) -> {
 					}, (route, origin) -> {
 					}, new IncarnationRecords()));
-			eventLoop.submit(() -> peer.tick(System.nanoTime())).sync();
+			eventLoop.submit(() -> peer.tick(System.nanoTime(), IdlePings.MINIMUM_DELAY)).sync();
 			try (Socket accepted = listener.accept()) {
 				accepted.setSoTimeout(5000);
 				assertThat(accepted.getInputStream().read()).isNotNegative();
