Revert "Let throttles follow the load of the bottleneck downstream"

Cause: only some entries follow the load, those whose requests were wasted. Ruled out: the threshold at which a route starts to follow (1.5 in place of 1), and the load of single servers in place of the mean of the region. Change: reverts. Result: the decisions are those before.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottle.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottle.java
@@ -11,11 +11,6 @@
  * fail, so no knowledge of the call graph is needed. Requests that are refused by the
  * gate of the first server cost little, and that gate knows its free slots; the share is
  * reduced for them only while most requests are refused.
- * <p>
- * An entry of a large fleet gets few requests of a route in an interval, too few to tell
- * the failed share. Therefore a route that wastes requests while a service downstream is
- * overloaded follows the reported load of that service, which covers the calls of all
- * entries.
  */
 final class EntryThrottle {
 
@@ -74,47 +69,6 @@
 	 */
 	private static final double REFUSED_TOLERANCE = 0.5;
 
-	/**
-	 * Load of the bottleneck that the share is adjusted to. Waiting calls add up along
-	 * the call graph, so the service should have few of them.
-	 */
-	private static final double TARGET_LOAD = 0.95;
-
-	/**
-	 * Change of the share in one interval for each unit of load that is missing or too
-	 * much. The effect of a change is seen after the duration of a request, some seconds
-	 * at most, so larger changes would oscillate.
-	 */
-	private static final double LOAD_DECREASE_GAIN = 0.25;
-
-	/** Higher than for a decrease: the load cannot show how much capacity is free. */
-	private static final double LOAD_INCREASE_GAIN = 0.5;
-
-	/** Added to the share for each unit of load that is missing. */
-	private static final double LOAD_INCREASE_STEP = 0.2;
-
-	/**
-	 * Load that is assumed to be missing if none was reported recently, since so few
-	 * requests were admitted.
-	 */
-	private static final double UNKNOWN_LOAD_MISSING = 0.2;
-
-	private static final double LOAD_DECREASE_MINIMUM = 0.85;
-
-	private static final double LOAD_INCREASE_MAXIMUM = 1.3;
-
-	/** Load at which the bottleneck refuses calls, or lets them wait too long. */
-	private static final double OVERLOAD = 1;
-
-	/** Load above which the wasted share determines the decrease, which may be larger. */
-	private static final double HEAVY_OVERLOAD = 1.5;
-
-	/** Weight of the newest load report; each is an average already. */
-	private static final double LOAD_WEIGHT = 0.5;
-
-	/** Time after which a load without further reports no longer counts. */
-	private static final long LOAD_TIMEOUT = TimeUnit.MILLISECONDS.toNanos(1500);
-
 	private final int priority;
 
 	private final double tolerance;
@@ -135,14 +89,6 @@
 
 	private int wasted;
 
-	private double downstreamLoad;
-
-	private long lastLoadReport;
-
-	private boolean loadReported;
-
-	private boolean followsDownstreamLoad;
-
 	private final LossAverage lossAverage = new LossAverage();
 
 	private final LossAverage wasteAverage = new LossAverage();
@@ -156,13 +102,11 @@
 	/**
 	 * Decides on one request.
 	 * @param constraint effect of the routes of other priorities on this one
-	 * @param lowerReducible whether routes of lower priority that use the bottleneck can
-	 * be reduced instead
 	 * @param now current time in nanoseconds
 	 * @return whether the request is admitted
 	 */
-	boolean admit(ShareConstraint constraint, boolean lowerReducible, long now) {
-		updateShare(constraint, lowerReducible, now);
+	boolean admit(ShareConstraint constraint, long now) {
+		updateShare(constraint, now);
 		return this.share >= 1 || this.random.nextDouble() < this.share;
 	}
 
@@ -179,31 +123,6 @@
 		this.wasteAverage.record(outcome == RequestOutcome.WASTED, now);
 	}
 
-	/**
-	 * Records the load of the most loaded service downstream.
-	 * @param load load
-	 * @param now current time in nanoseconds
-	 */
-	void downstreamLoad(double load, long now) {
-		this.downstreamLoad = isLoadKnown(now) ? this.downstreamLoad + LOAD_WEIGHT * (load - this.downstreamLoad)
-				: load;
-		this.lastLoadReport = now;
-		this.loadReported = true;
-	}
-
-	private boolean isLoadKnown(long now) {
-		return this.loadReported && now - this.lastLoadReport < LOAD_TIMEOUT;
-	}
-
-	/**
-	 * Returns whether the share follows the load of a service downstream, since requests
-	 * of the route were wasted while that service was overloaded.
-	 * @return whether the route is assumed to depend on that service
-	 */
-	boolean followsDownstreamLoad() {
-		return this.followsDownstreamLoad;
-	}
-
 	int priority() {
 		return this.priority;
 	}
@@ -234,7 +153,7 @@
 		return this.wasteAverage.share() > OVERLOAD_WASTED_SHARE;
 	}
 
-	private void updateShare(ShareConstraint constraint, boolean lowerReducible, long now) {
+	private void updateShare(ShareConstraint constraint, long now) {
 		if (!this.started) {
 			this.started = true;
 			this.intervalStart = now;
@@ -251,18 +170,7 @@
 		if (this.wasted == 0) {
 			this.wasteAverage.decay(elapsed);
 		}
-		boolean loadKnown = isLoadKnown(now);
-		if (loadKnown && this.downstreamLoad > OVERLOAD && hasWastedRequests() && !lowerReducible) {
-			this.followsDownstreamLoad = true;
-		}
-		else if (this.share >= 1) {
-			this.followsDownstreamLoad = false;
-		}
-		boolean heavyWaste = wastedShare > this.tolerance && this.wasted > 1;
-		if (this.followsDownstreamLoad && !(heavyWaste && this.downstreamLoad > HEAVY_OVERLOAD)) {
-			followLoad(constraint, now);
-		}
-		else if (heavyWaste) {
+		if (wastedShare > this.tolerance && this.wasted > 1) {
 			decrease(Math.max(DECREASE_MINIMUM, 1 - wastedShare + this.tolerance / 2));
 		}
 		else if (refusedShare > REFUSED_TOLERANCE && this.refused > 1) {
@@ -281,18 +189,6 @@
 		this.wasted = 0;
 	}
 
-	private void followLoad(ShareConstraint constraint, long now) {
-		double missing = (now - this.lastLoadReport < LOAD_TIMEOUT) ? TARGET_LOAD - this.downstreamLoad
-				: UNKNOWN_LOAD_MISSING;
-		if (missing < 0) {
-			decrease(Math.max(LOAD_DECREASE_MINIMUM, 1 + LOAD_DECREASE_GAIN * missing));
-		}
-		else if (constraint == ShareConstraint.NONE) {
-			double factor = Math.min(LOAD_INCREASE_MAXIMUM, 1 + LOAD_INCREASE_GAIN * missing);
-			this.share = Math.min(1, this.share * factor + LOAD_INCREASE_STEP * missing);
-		}
-	}
-
 	private void decrease(double factor) {
 		this.share = Math.max(SHARE_MINIMUM, this.share * factor);
 		this.increase = INCREASE_MINIMUM;
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottles.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/EntryThrottles.java
@@ -40,44 +40,28 @@
 	 * @return whether the request is admitted
 	 */
 	public boolean admit(MeshRoute route, long now) {
-		return throttle(route).admit(constraint(route.priority(), now), lowerReducible(route.priority()), now);
+		return throttle(route).admit(constraint(route.priority(), now), now);
 	}
 
 	private ShareConstraint constraint(int priority, long now) {
 		boolean higherHasHighLoss = false;
 		boolean higherReduced = false;
+		boolean lowerReducible = false;
 		for (EntryThrottle other : this.throttles.values()) {
 			if (other.priority() < priority) {
 				higherHasHighLoss |= other.hasHighLoss(now);
 				higherReduced |= other.share() < 1;
 			}
+			else if (other.priority() > priority) {
+				lowerReducible |= other.hasWastedRequests() && other.share() > LOWER_PRIORITY_SHARE;
+			}
 		}
-		if (higherHasHighLoss && !lowerReducible(priority)) {
+		if (higherHasHighLoss && !lowerReducible) {
 			return ShareConstraint.REDUCE;
 		}
 		return (higherHasHighLoss || higherReduced) ? ShareConstraint.HOLD : ShareConstraint.NONE;
 	}
 
-	private boolean lowerReducible(int priority) {
-		for (EntryThrottle other : this.throttles.values()) {
-			if (other.priority() > priority && other.share() > LOWER_PRIORITY_SHARE
-					&& (other.hasWastedRequests() || other.followsDownstreamLoad())) {
-				return true;
-			}
-		}
-		return false;
-	}
-
-	/**
-	 * Records the load of the most loaded service downstream of a route's servers.
-	 * @param route route
-	 * @param load load; 1 means that all slots of the service are in use
-	 * @param now current time in nanoseconds
-	 */
-	public void downstreamLoad(MeshRoute route, double load, long now) {
-		throttle(route).downstreamLoad(load, now);
-	}
-
 	/**
 	 * Records the outcome of an admitted request.
 	 * @param route route of the request
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberLoadReport.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberLoadReport.java
@@ -13,23 +13,12 @@
  * responded to this node yet
  * @param requestRate calls per second that the server gets
  * @param leaving whether the server is leaving
- * @param downstreamLoad load of the most loaded service that the server's own calls use,
- * directly or through other services; 1 means that all of its slots are in use, 0 that
- * none is known
  */
 public record MemberLoadReport(int limit, int running, int waiting, Optional<RateLimit> rateLimit, double requestRate,
-		boolean leaving, double downstreamLoad) {
+		boolean leaving) {
 
 	public MemberLoadReport {
 		Objects.requireNonNull(rateLimit, "rateLimit");
 	}
 
-	/**
-	 * Returns the load of the server or of the most loaded service downstream of it.
-	 * @return the higher one; 1 means that all slots are in use
-	 */
-	public double highestLoad() {
-		return Math.max((double) (this.running + this.waiting) / this.limit, this.downstreamLoad);
-	}
-
 }
--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberStatus.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/MemberStatus.java
@@ -118,14 +118,6 @@
 		}
 	}
 
-	/**
-	 * Returns the last load report.
-	 * @return the report, or empty if this incarnation has not reported a load
-	 */
-	public Optional<MemberLoadReport> lastReport() {
-		return Optional.ofNullable(this.report);
-	}
-
 	/**
 	 * Returns the rate limit that the server has named last.
 	 * @return the limit, or empty if no response of the server is known
--- a/wasabicart-core/src/test/java/org/wasabicart/core/mesh/EntryThrottleTests.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/mesh/EntryThrottleTests.java
@@ -40,7 +40,7 @@
 			for (int i = 0; i < REQUESTS_PER_SECOND; i++) {
 				freeSlots = Math.min(BURST, freeSlots + (double) capacityPerSecond / REQUESTS_PER_SECOND);
 				this.now += 1_000_000_000L / REQUESTS_PER_SECOND;
-				if (!this.throttle.admit(EntryThrottle.ShareConstraint.NONE, false, this.now)) {
+				if (!this.throttle.admit(EntryThrottle.ShareConstraint.NONE, this.now)) {
 					this.refused++;
 					continue;
 				}
--- a/wasabicart-core/src/test/java/org/wasabicart/core/mesh/PlacementTests.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/mesh/PlacementTests.java
@@ -39,7 +39,7 @@
 	}
 
 	private static MemberLoadReport report(int limit, int running, int waiting) {
-		return new MemberLoadReport(limit, running, waiting, Optional.of(RateLimit.NONE), running, false, 0);
+		return new MemberLoadReport(limit, running, waiting, Optional.of(RateLimit.NONE), running, false);
 	}
 
 	private MemberStatus choose() {
@@ -69,7 +69,7 @@
 	}
 
 	private static MemberLoadReport limitedReport(double limit, double requestRate) {
-		return new MemberLoadReport(100, 10, 0, Optional.of(new RateLimit(limit)), requestRate, false, 0);
+		return new MemberLoadReport(100, 10, 0, Optional.of(new RateLimit(limit)), requestRate, false);
 	}
 
 	@Test
@@ -116,7 +116,7 @@
 
 	@Test
 	void newIncarnationUnderTheIdOfALeavingServerIsUsed() {
-		this.localDomain.reported(new MemberLoadReport(100, 10, 0, Optional.empty(), 10, true, 0), 0);
+		this.localDomain.reported(new MemberLoadReport(100, 10, 0, Optional.empty(), 10, true), 0);
 		assertThat(choose()).isSameAs(this.otherDomain);
 		this.localDomain.member(copyOf(this.localDomain.member(), 2, ServerState.READY));
 		assertThat(choose()).isSameAs(this.localDomain);
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallMessages.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallMessages.java
@@ -84,8 +84,7 @@
 			.setRunning(load.running())
 			.setWaiting(load.waiting())
 			.setRequestRate(load.requestRate())
-			.setLeaving(load.leaving())
-			.setDownstreamLoad(load.downstreamLoad());
+			.setLeaving(load.leaving());
 		load.rateLimit().ifPresent((limit) -> message.setRateLimit(limit.requestsPerSecond()));
 		return message.build();
 	}
@@ -93,11 +92,7 @@
 	static MemberLoadReport toLoadReport(MeshLoad message) {
 		return new MemberLoadReport(Math.max(1, message.getLimit()), message.getRunning(), message.getWaiting(),
 				message.hasRateLimit() ? toRateLimit(message.getRateLimit()) : Optional.empty(),
-				message.getRequestRate(), message.getLeaving(), toLoad(message.getDownstreamLoad()));
-	}
-
-	private static double toLoad(double value) {
-		return (value >= 0 && value < Double.POSITIVE_INFINITY) ? value : 0;
+				message.getRequestRate(), message.getLeaving());
 	}
 
 	private static Optional<RateLimit> toRateLimit(double requestsPerSecond) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryLimits.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryLimits.java
@@ -12,9 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 
 import org.wasabicart.core.mesh.CallOrigin;
-import org.wasabicart.core.mesh.DownstreamLoads;
 import org.wasabicart.core.mesh.EntryThrottles;
-import org.wasabicart.core.mesh.MemberLoadReport;
 import org.wasabicart.core.mesh.MeshRoute;
 import org.wasabicart.core.mesh.RepeatBudget;
 import org.wasabicart.core.mesh.RequestOutcome;
@@ -43,8 +41,6 @@
 
 	private final RetryDelays retryDelays;
 
-	private final DownstreamLoads downstreamLoads = new DownstreamLoads();
-
 	private final Map<ServiceName, RepeatBudget> repeatBudgets = new HashMap<>();
 
 	private final Set<String> nestedRoutes = new HashSet<>();
@@ -62,7 +58,6 @@
 	void retain(Collection<String> routes) {
 		this.throttles.retain(routes);
 		this.nestedRoutes.retainAll(routes);
-		this.downstreamLoads.retain(routes);
 	}
 
 	/**
@@ -103,30 +98,6 @@
 		}
 	}
 
-	/**
-	 * Records the load that was reported with the result of a request.
-	 * @param route route of the request
-	 * @param report load of the server and downstream of it
-	 * @param now current time in nanoseconds
-	 */
-	void recordLoad(MeshRoute route, MemberLoadReport report, long now) {
-		if (this.nestedRoutes.contains(route.name())) {
-			this.downstreamLoads.record(route.name(), report.highestLoad(), now);
-		}
-		else {
-			this.throttles.downstreamLoad(route, report.downstreamLoad(), now);
-		}
-	}
-
-	/**
-	 * Returns the load of the most loaded service that the calls of the local server use.
-	 * @param now current time in nanoseconds
-	 * @return the load; 1 means that all slots are in use
-	 */
-	double downstreamLoad(long now) {
-		return this.downstreamLoads.highest(now);
-	}
-
 	/**
 	 * Returns the share of a route's new requests that is admitted.
 	 * @param route route
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -256,8 +256,6 @@
 			if (this.ended) {
 				return;
 			}
-			this.member.lastReport()
-				.ifPresent((report) -> EntryRouter.this.limits.recordLoad(this.route, report, System.nanoTime()));
 			if (result instanceof CallResult.Answered answered) {
 				handleAnswer(answered);
 			}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
-import java.util.function.LongToDoubleFunction;
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
@@ -65,8 +64,6 @@
 
 	private final IntSupplier knownServices;
 
-	private final LongToDoubleFunction downstreamLoad;
-
 	private final BackendTrafficLog trafficLog;
 
 	private final IncarnationRecords incarnationRecords;
@@ -100,13 +97,11 @@
 	private long unreachableUntil;
 
 	LocalBackend(MeshSettings settings, HeaderNames headerNames, EventLoop eventLoop, Runnable changeListener,
-			IntSupplier knownServices, LongToDoubleFunction downstreamLoad, BackendTrafficLog trafficLog,
-			IncarnationRecords incarnationRecords) {
+			IntSupplier knownServices, BackendTrafficLog trafficLog, IncarnationRecords incarnationRecords) {
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.messages = new BackendMessages(headerNames);
 		this.changeListener = Objects.requireNonNull(changeListener, "changeListener");
 		this.knownServices = Objects.requireNonNull(knownServices, "knownServices");
-		this.downstreamLoad = Objects.requireNonNull(downstreamLoad, "downstreamLoad");
 		this.trafficLog = Objects.requireNonNull(trafficLog, "trafficLog");
 		this.incarnationRecords = Objects.requireNonNull(incarnationRecords, "incarnationRecords");
 		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
@@ -248,7 +243,7 @@
 		return (this.gate == null) ? null
 				: new MemberLoadReport(this.gate.limit(), this.gate.running(), this.gate.waiting(),
 						this.incarnationRecord.rateLimit(), this.gate.admittedPerSecond(now),
-						this.incarnationRecord.leaving(), this.downstreamLoad.applyAsDouble(now));
+						this.incarnationRecord.leaving());
 	}
 
 	/**
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -190,7 +190,7 @@
 		this.random = Objects.requireNonNull(random, "random");
 		IncarnationRecords incarnationRecords = new IncarnationRecords();
 		this.localBackend = new LocalBackend(settings, names, eventLoop, this::publishLocalServer, this::knownServices,
-				this::downstreamLoad, new BackendTrafficLog(metrics), incarnationRecords);
+				new BackendTrafficLog(metrics), incarnationRecords);
 		this.peers = new Peers(settings.nodeId(), new PeerEnvironment(eventLoop, this::ownPing, this::handlePeerPing,
 				this::recordOrigin, incarnationRecords));
 		this.destinations = new Destinations(this.peers, this.localBackend,
@@ -297,10 +297,6 @@
 		return this.peers.serviceCount();
 	}
 
-	private double downstreamLoad(long now) {
-		return this.limits.downstreamLoad(now);
-	}
-
 	private void recordOrigin(String route, CallOrigin origin) {
 		this.limits.recordOrigin(route, origin);
 	}
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/EntryLimitsTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/EntryLimitsTests.java
@@ -7,7 +7,6 @@
 import org.junit.jupiter.api.Test;
 
 import org.wasabicart.core.mesh.CallOrigin;
-import org.wasabicart.core.mesh.MemberLoadReport;
 import org.wasabicart.core.mesh.MeshRoute;
 import org.wasabicart.core.mesh.RequestOutcome;
 import org.wasabicart.core.mesh.ServiceShare;
@@ -49,28 +48,6 @@
 		assertThat(countAdmitted(1000)).isEqualTo(1000);
 	}
 
-	private static MemberLoadReport report(int running, double downstreamLoad) {
-		return new MemberLoadReport(10, running, 0, Optional.empty(), 0, false, downstreamLoad);
-	}
-
-	@Test
-	void loadOfTheMostLoadedServiceThatNestedCallsUseIsReported() {
-		this.limits.recordOrigin("lookup", CallOrigin.NESTED);
-		this.limits.recordLoad(ROUTE, report(8, 0), 0);
-		assertThat(this.limits.downstreamLoad(0)).isEqualTo(0.8);
-		this.limits.retain(List.of());
-		assertThat(this.limits.downstreamLoad(0)).isZero();
-		this.limits.recordOrigin("lookup", CallOrigin.NESTED);
-		this.limits.recordLoad(ROUTE, report(1, 1.5), 0);
-		assertThat(this.limits.downstreamLoad(0)).isEqualTo(1.5);
-	}
-
-	@Test
-	void loadOfAServiceThatOnlyCallersUseIsNotReported() {
-		this.limits.recordLoad(ROUTE, report(10, 2), 0);
-		assertThat(this.limits.downstreamLoad(0)).isZero();
-	}
-
 	@Test
 	void unknownOriginDoesNotReplaceAKnownOrigin() {
 		this.limits.recordOrigin("lookup", CallOrigin.NESTED);
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
@@ -67,7 +67,7 @@
 				new InetSocketAddress("127.0.0.1", 3), Duration.ofSeconds(2), Duration.ofSeconds(6),
 				new RepeatSettings(0.2));
 		return new LocalBackend(settings, TestHeaders.NAMES, this.channel.eventLoop(), () -> {
-		}, () -> 1, (now) -> 0, new BackendTrafficLog(new MeshMetrics()), new IncarnationRecords());
+		}, () -> 1, new BackendTrafficLog(new MeshMetrics()), new IncarnationRecords());
 	}
 
 	private static NodeCalls nodeCalls() {
