--- a/review/kit/PartialAnswerCase.java
+++ b/review/kit/PartialAnswerCase.java
@@ -141,9 +141,7 @@
 			Client.Answer answer = client
 				.read(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DEADLINE_MILLISECONDS), 0);
 			this.answered.incrementAndGet();
-			if (answer.status() != 200) {
-				this.record.log("client %d: %s answered: %s", number, id, answer);
-			}
+			this.record.log("client %d: sent %s, received: %s", number, id, answer);
 			if ((answer.status() == 503 || answer.status() == 429) && this.runs.containsKey(id)) {
 				this.refusedAfterRun.incrementAndGet();
 				this.record.log("REFUSED: %s was answered %d, and ran at %s", id, answer.status(), this.runs.get(id));
