--- a/review/kit/Deployment.java
+++ b/review/kit/Deployment.java
@@ -15,6 +15,9 @@
  */
 final class Deployment implements AutoCloseable {
 
+	/** Version of the configuration with which a deployment starts. */
+	static final int FIRST_VERSION = 7;
+
 	/** Time from the start of the machines to the start of traffic. */
 	private static final long LEAD_SECONDS = 13;
 
@@ -44,27 +47,28 @@
 	 * @return the entry as JSON
 	 */
 	static String route(String host, String prefix, String kind, int timeout, String service) {
+		String name = (host + prefix).replace(".example", "").replace('/', '-');
 		return String.format(
-				"{\"entry_kind\":\"routes\",\"metadata\":{\"name\":\"r-%s-%s\"},\"specification\":{\"host\":\"%s\","
+				"{\"entry_kind\":\"routes\",\"metadata\":{\"name\":\"r-%s\"},\"specification\":{\"host\":\"%s\","
 						+ "\"prefix\":\"%s\",\"kind\":\"%s\",\"timeout_ms\":%d,\"target_latency_ms\":1500,"
 						+ "\"priority\":0,\"service\":\"%s\",\"max_attempts\":2}}",
-				service, kind, host, prefix, kind, timeout, service);
+				name, host, prefix, kind, timeout, service);
 	}
 
 	/**
 	 * Returns a configuration of routes to one service, with the limits that the pages
 	 * show.
+	 * @param version version
 	 * @param service service
-	 * @param idleTimeout {@code idle_timeout_ms}
 	 * @param routes routes
 	 * @return the configuration as JSON
 	 */
-	static String configuration(String service, int idleTimeout, String... routes) {
-		return "{\"version\":\"00000007\",\"resources\":[" + String.join(",", routes)
+	static String configuration(int version, String service, List<String> routes) {
+		return String.format("{\"version\":\"%08x\",", version) + "\"resources\":[" + String.join(",", routes)
 				+ ",{\"entry_kind\":\"services\",\"metadata\":{\"name\":\"" + service
 				+ "\"},\"specification\":{\"health_path\":\"/health\",\"max_connections\":940,\"protocol\":\"h1\","
 				+ "\"tls\":false}},{\"entry_kind\":\"limits\",\"metadata\":{},\"specification\":{\"header_bytes\":16384,"
-				+ "\"body_bytes\":67108864,\"header_timeout_ms\":3000,\"idle_timeout_ms\":" + idleTimeout + "}}]}";
+				+ "\"body_bytes\":67108864,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}]}";
 	}
 
 	/**
@@ -93,6 +97,15 @@
 		this.record.log("all %d machines are ready", zones.length);
 	}
 
+	/**
+	 * Writes a configuration of the operator. The store has acknowledged it when this
+	 * returns.
+	 * @param configuration configuration as JSON
+	 */
+	void configure(String configuration) {
+		this.store.put("op/config", configuration);
+	}
+
 	Machine machine(int index) {
 		return this.machines.get(index);
 	}
--- a/review/kit/MemoryCase.java
+++ b/review/kit/MemoryCase.java
@@ -76,9 +76,10 @@
 	}
 
 	private int play() throws IOException, InterruptedException {
-		try (Deployment deployment = new Deployment(this.record, Deployment.configuration(SERVICE, 15000,
-				Deployment.route(HOST, "/designs/", "safe", SLOW_DEADLINE_MILLISECONDS, SERVICE),
-				Deployment.route(HOST, "/order/", "unsafe", TIMEOUT_MILLISECONDS, SERVICE)))) {
+		try (Deployment deployment = new Deployment(this.record, Deployment.configuration(
+				Deployment.FIRST_VERSION, SERVICE,
+				List.of(Deployment.route(HOST, "/designs/", "safe", SLOW_DEADLINE_MILLISECONDS, SERVICE),
+						Deployment.route(HOST, "/order/", "unsafe", TIMEOUT_MILLISECONDS, SERVICE))))) {
 			deployment.start(SERVICE, 140, this::handle, "jhb-a", "jhb-b");
 			Machine machine = deployment.machine(0);
 			long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(SECONDS);
--- a/review/kit/PartialAnswerCase.java
+++ b/review/kit/PartialAnswerCase.java
@@ -73,8 +73,8 @@
 	}
 
 	private int play() throws IOException, InterruptedException {
-		try (Deployment deployment = new Deployment(this.record, Deployment.configuration(SERVICE, 15000,
-				Deployment.route(HOST, "/order/", "unsafe", 4000, SERVICE)))) {
+		try (Deployment deployment = new Deployment(this.record, Deployment.configuration(
+				Deployment.FIRST_VERSION, SERVICE, List.of(Deployment.route(HOST, "/order/", "unsafe", 4000, SERVICE))))) {
 			deployment.start(SERVICE, 140, this::handle, "jhb-a", "jhb-b");
 			this.start = System.nanoTime();
 			List<Thread> clients = new ArrayList<>();
--- a/review/kit/ResetAnswerCase.java
+++ b/review/kit/ResetAnswerCase.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -51,8 +52,9 @@
 	private int play() throws IOException, InterruptedException {
 		int mixed = 0;
 		int answered = 0;
-		try (Deployment deployment = new Deployment(this.record, Deployment.configuration(SERVICE, 15000,
-				Deployment.route(HOST, "/order/", "unsafe", DEADLINE_MILLISECONDS, SERVICE)))) {
+		try (Deployment deployment = new Deployment(this.record, Deployment.configuration(
+				Deployment.FIRST_VERSION, SERVICE,
+				List.of(Deployment.route(HOST, "/order/", "unsafe", DEADLINE_MILLISECONDS, SERVICE))))) {
 			deployment.start(SERVICE, 140, this::handle, "jhb-a", "jhb-b");
 			for (int i = 0; i < REQUESTS; i++) {
 				String id = "order-" + i;
--- a/review/kit/StopCase.java
+++ b/review/kit/StopCase.java
@@ -53,8 +53,9 @@
 	}
 
 	private int play() throws IOException, InterruptedException {
-		try (Deployment deployment = new Deployment(this.record, Deployment.configuration(SERVICE, 15000,
-				Deployment.route(HOST, "/order/", "unsafe", DEADLINE_MILLISECONDS, SERVICE)))) {
+		try (Deployment deployment = new Deployment(this.record, Deployment.configuration(
+				Deployment.FIRST_VERSION, SERVICE,
+				List.of(Deployment.route(HOST, "/order/", "unsafe", DEADLINE_MILLISECONDS, SERVICE))))) {
 			deployment.start(SERVICE, 140, this::handle, "jhb-a", "jhb-b");
 			Machine machine = deployment.machine(0);
 			List<Thread> clients = new ArrayList<>();
--- a/review/kit/StoreStandIn.java
+++ b/review/kit/StoreStandIn.java
@@ -5,8 +5,9 @@
 import java.net.InetSocketAddress;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
+import java.util.ArrayDeque;
 import java.util.Base64;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,13 +30,19 @@
 	/** Time that the platform's store takes for an answer. */
 	private static final long ANSWER_MILLISECONDS = 4;
 
+	/** Time for which the platform's store keeps its history ({@code history_s}). */
+	private static final long HISTORY_NANOSECONDS = TimeUnit.SECONDS.toNanos(20);
+
 	private final ObjectMapper mapper = new ObjectMapper();
 
 	private final HttpServer server;
 
 	private final TreeMap<String, ObjectNode> items = new TreeMap<>();
 
-	private final List<ObjectNode> events = new ArrayList<>();
+	private final Deque<Event> events = new ArrayDeque<>();
+
+	/** Revision of the last change that the history no longer has. */
+	private long historyStart;
 
 	private final Map<Long, Lease> leases = new HashMap<>();
 
@@ -80,7 +87,7 @@
 			item.put("value", value).put("created", created).put("lease", lease);
 			this.items.put(key, item);
 		}
-		this.events.add(item);
+		this.events.addLast(new Event(System.nanoTime(), item));
 		notifyAll();
 	}
 
@@ -160,8 +167,7 @@
 				return 200;
 			}
 			case "/kv-watch":
-				watch(query, answer);
-				return 200;
+				return watch(query, answer);
 			case "/kv-txn":
 				return apply(document, answer);
 			case "/kv-lease": {
@@ -180,8 +186,14 @@
 		return item.path("key").asText().startsWith(prefix);
 	}
 
-	private void watch(Map<String, String> query, ObjectNode answer) throws InterruptedException {
+	private int watch(Map<String, String> query, ObjectNode answer) throws InterruptedException {
 		long after = Long.parseLong(query.getOrDefault("after", "0"));
+		while (!this.events.isEmpty() && System.nanoTime() - this.events.peekFirst().time > HISTORY_NANOSECONDS) {
+			this.historyStart = this.events.removeFirst().item.path("revision").asLong();
+		}
+		if (after < this.historyStart) {
+			return 410;
+		}
 		String prefix = query.getOrDefault("prefix", "");
 		long end = System.nanoTime()
 				+ TimeUnit.MILLISECONDS.toNanos(Long.parseLong(query.getOrDefault("wait_ms", "0")));
@@ -193,10 +205,12 @@
 		}
 		found.forEach(answer.putArray("events")::add);
 		answer.put("as_of", this.revision);
+		return 200;
 	}
 
 	private List<ObjectNode> eventsAfter(long after, String prefix) {
 		return this.events.stream()
+			.map(Event::item)
 			.filter((event) -> event.path("revision").asLong() > after && hasPrefix(event, prefix))
 			.toList();
 	}
@@ -235,6 +249,16 @@
 		this.server.stop(0);
 	}
 
+	/**
+	 * Change of an item.
+	 *
+	 * @param time time of the change in nanoseconds
+	 * @param item item as it was written, or its tombstone
+	 */
+	private record Event(long time, ObjectNode item) {
+
+	}
+
 	private static final class Lease {
 
 		private final long timeToLive;
