--- a/review/kit/ConfigurationStormCase.java
+++ b/review/kit/ConfigurationStormCase.java
@@ -21,10 +21,13 @@
 
 	private static final int MAXIMUM_VALUE_BYTES = 1_048_576;
 
-	private static final int VERSIONS = 25;
+	private static final int VERSIONS = 23;
 
 	private static final int INTERVAL_MILLISECONDS = 80;
 
+	/** Longest storm on the pages. */
+	private static final int MAXIMUM_STORM_MILLISECONDS = 2000;
+
 	/** Time after which a version must be in force ({@code config_apply_ms}). */
 	private static final int APPLY_MILLISECONDS = 2000;
 
@@ -64,6 +67,7 @@
 				}
 			}
 			int version = Deployment.FIRST_VERSION;
+			long stormStart = System.nanoTime();
 			for (int i = 1; this.trouble && i < VERSIONS; i++) {
 				deployment.configure(Deployment.configuration(++version, SERVICE, routes));
 				this.record.log("operator: version %08x is acknowledged", version);
@@ -73,9 +77,10 @@
 			String last = Deployment.configuration(++version, SERVICE, routes);
 			deployment.configure(last);
 			long acknowledged = System.nanoTime();
-			this.record.log("operator: version %08x, which adds the route /new/, is acknowledged; it has %d bytes",
-					version, last.length());
-			if (last.length() > MAXIMUM_VALUE_BYTES) {
+			long storm = TimeUnit.NANOSECONDS.toMillis(acknowledged - stormStart);
+			this.record.log("operator: version %08x, which adds the route /new/, is acknowledged %d ms after the start of the "
+					+ "storm; it has %d bytes", version, storm, last.length());
+			if (last.length() > MAXIMUM_VALUE_BYTES || storm > MAXIMUM_STORM_MILLISECONDS) {
 				return -1;
 			}
 			TimeUnit.MILLISECONDS.sleep(APPLY_MILLISECONDS);
--- a/review/kit/MemoryCase.java
+++ b/review/kit/MemoryCase.java
@@ -50,6 +50,9 @@
 
 	private static final int PAUSE_MILLISECONDS = 20;
 
+	/** Short requests without which the case says nothing. */
+	private static final int MINIMUM_REQUESTS = 500;
+
 	private static final int SECONDS = 36;
 
 	private final Record record;
@@ -100,6 +103,9 @@
 			this.record.log("processes still running: %b %b", machine.isRunning(), deployment.machine(1).isRunning());
 			deployment.recordLogs("WARN|ERROR|SEVERE|emory", 20);
 		}
+		if (this.sent.get() < MINIMUM_REQUESTS) {
+			return -1;
+		}
 		int unanswered = this.unansweredAtTimeout.get();
 		int late = this.unansweredAfterSlack.get();
 		this.record.log("short requests: %d, of them without a 200: %d", this.sent.get(), this.failed.get());
--- a/review/kit/PartialAnswerCase.java
+++ b/review/kit/PartialAnswerCase.java
@@ -26,8 +26,8 @@
 	private static final String REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
 			+ "Content-Length: 0\r\n\r\n";
 
-	/** Share of the answers of the faulty server that it spoils. */
-	private static final double SPOILT_SHARE = 0.03;
+	/** The faulty server spoils one of so many answers, which is less than 0.03 of them. */
+	private static final int SPOILT_INTERVAL = 34;
 
 	private static final int CLIENTS = 20;
 
@@ -55,6 +55,8 @@
 
 	private final Map<String, List<String>> runs = new ConcurrentHashMap<>();
 
+	private final AtomicInteger faultyAnswers = new AtomicInteger();
+
 	private final AtomicInteger spoilt = new AtomicInteger();
 
 	private final AtomicInteger answered = new AtomicInteger();
@@ -94,8 +96,8 @@
 				this.record.log("TWICE: %s ran at %s", run.getKey(), run.getValue());
 			}
 		}
-		this.record.log("requests answered: %d, answers followed by additional bytes: %d", this.answered.get(),
-				this.spoilt.get());
+		this.record.log("requests answered: %d, answers of the faulty server in its 5 s: %d, with additional bytes: %d",
+				this.answered.get(), this.faultyAnswers.get(), this.spoilt.get());
 		this.record.log("unsafe requests answered 503 although they had run (REFUSED): %d, run twice (TWICE): %d",
 				this.refusedAfterRun.get(), twice);
 		if (this.answered.get() < MINIMUM_REQUESTS) {
@@ -113,11 +115,10 @@
 		TimeUnit.MILLISECONDS.sleep(WORK_MILLISECONDS);
 		String body = "order " + id + " placed";
 		String extra = "";
-		if (this.trouble && "i-1".equals(server.instance()) && isFaulty()) {
+		if (this.trouble && "i-1".equals(server.instance()) && isFaulty()
+				&& this.faultyAnswers.incrementAndGet() % SPOILT_INTERVAL == 0) {
 			synchronized (this.random) {
-				if (this.random.nextDouble() < SPOILT_SHARE) {
-					extra = REFUSAL.substring(0, 1 + this.random.nextInt(REFUSAL.length() - 1));
-				}
+				extra = REFUSAL.substring(0, 1 + this.random.nextInt(REFUSAL.length() - 1));
 			}
 		}
 		ServerStandIn.write(socket.getOutputStream(), server.head("200 OK", request, body.length()) + body + extra);
--- a/review/kit/ResetAnswerCase.java
+++ b/review/kit/ResetAnswerCase.java
@@ -87,7 +87,7 @@
 		this.record.log("server %s: runs %s, has sent %d of %d bytes of the answer", server.instance(), id, PART_BYTES,
 				ANSWER_BYTES);
 		TimeUnit.MILLISECONDS.sleep(300);
-		if (this.trouble && this.runs.incrementAndGet() % RESET_INTERVAL == 0) {
+		if (this.trouble && "i-1".equals(server.instance()) && this.runs.incrementAndGet() % RESET_INTERVAL == 0) {
 			this.resets.incrementAndGet();
 			socket.setSoLinger(true, 0);
 			socket.close();
--- a/review/kit/ReviewCase.java
+++ b/review/kit/ReviewCase.java
@@ -9,13 +9,13 @@
 interface ReviewCase {
 
 	/** Exit status if the rule held. */
-	int HELD = 0;
+	int HELD = 10;
 
 	/** Exit status if the rule was broken. */
-	int BROKEN = 1;
+	int BROKEN = 11;
 
 	/** Exit status if the case could not run. */
-	int NOT_RUN = 2;
+	int NOT_RUN = 12;
 
 	/**
 	 * Plays the case.
--- a/review/kit/StopCase.java
+++ b/review/kit/StopCase.java
@@ -31,6 +31,9 @@
 
 	private static final int DEADLINE_MILLISECONDS = 20_000;
 
+	/** Checks, 0.1 s apart, for the servers' answers before the signal. */
+	private static final int START_CHECKS = 10;
+
 	private static final int GRACE_MILLISECONDS = 6000;
 
 	private final Record record;
@@ -63,7 +66,9 @@
 				String id = "order-" + i;
 				clients.add(Threads.start(id, () -> call(id, machine)));
 			}
-			TimeUnit.MILLISECONDS.sleep(300);
+			for (int i = 0; i < START_CHECKS && this.runs.size() < CLIENTS; i++) {
+				TimeUnit.MILLISECONDS.sleep(100);
+			}
 			this.record.log("answered by servers so far: %d", this.runs.size());
 			if (this.runs.size() < CLIENTS) {
 				return -1;
@@ -85,6 +90,9 @@
 			deployment.recordLogs("node-stop", 10);
 		}
 		this.record.log("answers complete: %d, cut off (LOST): %d", this.complete.get(), this.lost.get());
+		if (this.complete.get() + this.lost.get() < CLIENTS) {
+			return -1;
+		}
 		return this.lost.get();
 	}
 
@@ -105,8 +113,14 @@
 			client.send("POST", HOST, "/order/new", id, DEADLINE_MILLISECONDS, "coir".getBytes());
 			Client.Answer answer = client.read(
 					System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DEADLINE_MILLISECONDS), READ_BYTES_PER_SECOND);
-			this.record.log("%sclient: %s received: %s", answer.complete() ? "" : "LOST: ", id, answer);
-			(answer.complete() ? this.complete : this.lost).incrementAndGet();
+			boolean cut = !answer.complete() && !answer.failure().startsWith("not answered");
+			this.record.log("%sclient: %s received: %s", cut ? "LOST: " : "", id, answer);
+			if (answer.complete()) {
+				this.complete.incrementAndGet();
+			}
+			else if (cut) {
+				this.lost.incrementAndGet();
+			}
 		}
 	}
 
