Do not join additional bytes of a server with the next response

Callers got 503, which states that an order has not run, for orders that a server had run and answered with 200; some ran at a second server too.

Cause: a faulty server sent the beginning of a refusal behind a complete response. The decoder kept it, as it completed no message, and the connection was used again. The kept bytes were then joined with the head of the next response, so that its id came with the status and the fields of the refusal.

Change: bytes without an outstanding request close the connection before they are decoded, also those behind the end of a response in the same segment. If they arrive after the next request was sent, the head has a second status line in its reason phrase or in a header value, and the response counts as unreadable, so that the outcome is unknown.

Evidence: the new tests of BackendConnectionTests cut six kinds of additional responses at every byte. The node of the product is not affected, which the new test of FaultyBackendTests shows.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendConnection.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendConnection.java
@@ -82,6 +82,11 @@
 		this.previousRequestId = requestId;
 		this.responseSkipped = false;
 		this.informationalResponses = 0;
+		if (!this.channel.isActive()) {
+			message.release();
+			fail("connection-closed");
+			return;
+		}
 		this.decoder.expect(method);
 		this.channel.writeAndFlush(message);
 	}
@@ -150,6 +155,10 @@
 			return;
 		}
 		if (message instanceof HttpResponse response) {
+			if (BackendResponseDecoder.isJoined(response)) {
+				fail("answer-not-http");
+				return;
+			}
 			this.head = response;
 			if (isInformational(response) && ++this.informationalResponses > MAXIMUM_INFORMATIONAL_RESPONSES) {
 				fail("answer-without-end");
@@ -200,7 +209,8 @@
 			this.decoder.expect(HttpMethod.GET);
 			return;
 		}
-		if (!HttpUtil.isKeepAlive(response) || !(HttpUtil.isContentLengthSet(response)
+		boolean decoderEmpty = this.decoder.endResponse();
+		if (!decoderEmpty || !HttpUtil.isKeepAlive(response) || !(HttpUtil.isContentLengthSet(response)
 				|| HttpUtil.isTransferEncodingChunked(response) || bytes.length == 0)) {
 			this.reusable = false;
 		}
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendConnectionTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendConnectionTests.java
@@ -253,6 +253,73 @@
 		assertThat(this.connection.usableFor("b")).isTrue();
 	}
 
+	static List<String> additionalResponses() {
+		return List.of(REFUSAL_WITHOUT_ID, refusal("a"), response("a", "extra"), "HTTP/1.0 100 Continue\r\n\r\n",
+				"HTTP/1.1 503 x\r\nNot-Run: 1\r\nName: folded\r\n value\r\nContent-Length: 0\r\n\r\n",
+				"HTTP/1.1 503 x\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+	}
+
+	/**
+	 * Guards against orders that have run but are reported as not run: the beginning of a
+	 * refusal was kept and joined with the head of the next response.
+	 */
+	@ParameterizedTest
+	@MethodSource("additionalResponses")
+	void beginningOfAResponseInTheSegmentOfTheFirstClosesTheConnection(String additional) {
+		for (int length = 1; length <= additional.length(); length++) {
+			BackendConnectionTests cut = new BackendConnectionTests();
+			cut.send("a");
+			cut.receive(response("a", "first") + additional.substring(0, length));
+			assertThat(cut.outcomes).as("first %d bytes", length).containsExactly("200 first");
+			assertThat(cut.connection.usable()).as("first %d bytes", length).isFalse();
+		}
+	}
+
+	/**
+	 * Guards against the same failure if the additional bytes arrive while the connection
+	 * is idle.
+	 */
+	@ParameterizedTest
+	@MethodSource("additionalResponses")
+	void beginningOfAResponseBeforeTheNextRequestClosesTheConnection(String additional) {
+		for (int length = 1; length <= additional.length(); length++) {
+			BackendConnectionTests cut = new BackendConnectionTests();
+			cut.send("a");
+			cut.receive(response("a", "first"));
+			cut.receive(additional.substring(0, length));
+			assertThat(cut.connection.usable()).as("first %d bytes", length).isFalse();
+		}
+	}
+
+	/**
+	 * Guards against the same failure if the additional bytes arrive after the next
+	 * request was sent, so that closing an idle connection does not prevent it.
+	 */
+	@ParameterizedTest
+	@MethodSource("additionalResponses")
+	void beginningOfAResponseInFrontOfTheNextOneIsNotJoinedWithIt(String additional) {
+		for (int length = 1; length <= additional.length(); length++) {
+			BackendConnectionTests cut = new BackendConnectionTests();
+			cut.send("a");
+			cut.receive(response("a", "first"));
+			cut.send("b");
+			cut.receive(additional.substring(0, length));
+			cut.receive(response("b", "second"));
+			cut.channel.close();
+			assertThat(cut.outcomes).as("first %d bytes", length).hasSize(2);
+			assertThat(cut.outcomes.get(1)).as("first %d bytes", length)
+				.matches("200 second|connection-closed|answer-not-http");
+		}
+	}
+
+	@Test
+	void headerValueThatNamesAProtocolIsAccepted() {
+		send("a");
+		receive("HTTP/1.1 200 OK\r\nId: a\r\nVia: HTTP/1.1 gateway\r\nUpgrade: HTTP/2.0\r\n"
+				+ "Content-Length: 5\r\n\r\nwhole");
+		assertThat(this.outcomes).containsExactly("200 whole");
+	}
+
 	private static final String HEAD = "HTTP/1.1 200 OK\r\nSignature: s\r\nId: a\r\n";
 
 	static List<String> framedResponses() {
--- a/wasabicart-node/src/test/java/org/wasabicart/node/FaultyBackendTests.java
+++ b/wasabicart-node/src/test/java/org/wasabicart/node/FaultyBackendTests.java
@@ -46,6 +46,31 @@
 		}
 	}
 
+	/**
+	 * Guards against orders that have run but are reported as not run, since the
+	 * beginning of a refusal is joined with the head of the next response.
+	 */
+	@Test
+	void beginningOfARefusalIsNotJoinedWithTheNextResponse() throws Exception {
+		AtomicReference<String> additional = new AtomicReference<>("");
+		try (RawBackend backend = new RawBackend((request) -> {
+			String response = "HTTP/1.1 200 OK\r\nWasabicart-Context: " + request.context()
+					+ "\r\nContent-Length: 3\r\n\r\nran";
+			return new RawBackend.Response(
+					request.path().equals("/orders/first") ? response + additional.get() : response, false, false);
+		}); RunningNode node = new RunningNode(4, (exchange) -> RunningNode.respond(exchange, 200, "unused"))) {
+			node.announce(backend.port());
+			String refusal = refusal("");
+			for (int length = 1; length < refusal.length(); length++) {
+				additional.set(refusal.substring(0, length));
+				assertThat(order(node, "first").statusCode()).as("first %d bytes", length).isEqualTo(200);
+				assertThat(order(node, "next").headers().firstValue("Wasabicart-Execution").orElse(""))
+					.as("first %d bytes", length)
+					.isNotEqualTo("not-run");
+			}
+		}
+	}
+
 	@Test
 	void responseCutAtAnyByteIsNotDelivered() throws Exception {
 		AtomicReference<RawBackend.Response> next = new AtomicReference<>();
