Bound the memory of all responses that a node collects

Clients of other requests lost their connections when a server sent responses without an end: the node beside it ran out of heap.

Cause: the limit of 8 MiB counts the bytes of one response. Each chunk also kept an entry of its own and the buffer of 16 KB that it was read into, and nothing limited all responses together.

Change: bodies are copied as they arrive (BodyAccumulator), and a node counts what it holds (HeldMemory). Above a share of the heap it gives up the largest response without a stated length, then the largest of the incomplete ones; only their own requests are affected.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendConnection.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendConnection.java
@@ -6,7 +6,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -46,7 +45,9 @@
 
 	private HttpResponse head;
 
-	private CompositeByteBuf body;
+	private final BodyAccumulator body = new BodyAccumulator();
+
+	private final HeldMemory.Holding holding;
 
 	private boolean reusable = true;
 
@@ -58,10 +59,11 @@
 
 	private long serverIdleTimeout = -1;
 
-	BackendConnection(String requestIdHeader, BackendResponseDecoder decoder,
+	BackendConnection(String requestIdHeader, BackendResponseDecoder decoder, HeldMemory memory,
 			Consumer<BackendConnection> releaseListener) {
 		this.requestIdHeader = Objects.requireNonNull(requestIdHeader, "requestIdHeader");
 		this.decoder = decoder;
+		this.holding = memory.open(HeldMemory.Kind.UNBOUNDED, () -> fail("memory-limit"));
 		this.releaseListener = releaseListener;
 	}
 
@@ -181,16 +183,15 @@
 	}
 
 	private boolean append(ByteBuf content) {
-		int size = content.readableBytes() + ((this.body != null) ? this.body.readableBytes() : 0);
-		if (size > MAXIMUM_BODY_BYTES) {
+		if (this.body.size() + content.readableBytes() > MAXIMUM_BODY_BYTES) {
 			fail("answer-too-large");
 			return false;
 		}
 		if (content.isReadable()) {
-			if (this.body == null) {
-				this.body = this.channel.alloc().compositeHeapBuffer(Integer.MAX_VALUE);
-			}
-			this.body.addComponent(true, content.retain());
+			this.body.append(content);
+			this.holding
+				.kind(HttpUtil.isContentLengthSet(this.head) ? HeldMemory.Kind.INCOMPLETE : HeldMemory.Kind.UNBOUNDED);
+			this.holding.resize(this.body.size());
 		}
 		return true;
 	}
@@ -228,18 +229,13 @@
 	}
 
 	private byte[] takeBody() {
-		if (this.body == null) {
-			return new byte[0];
-		}
-		byte[] bytes = new byte[this.body.readableBytes()];
-		this.body.readBytes(bytes);
-		this.body.release();
-		this.body = null;
-		return bytes;
+		this.holding.release();
+		return this.body.take();
 	}
 
 	private void fail(String reason) {
-		takeBody();
+		this.holding.release();
+		this.body.clear();
 		this.head = null;
 		Exchange failed = this.exchange;
 		this.exchange = null;
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendPool.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendPool.java
@@ -45,14 +45,17 @@
 
 	private final String requestIdHeader;
 
+	private final HeldMemory memory;
+
 	private final Deque<BackendConnection> idle = new ArrayDeque<>();
 
 	private int generation;
 
-	BackendPool(EventLoop eventLoop, InetSocketAddress address, String requestIdHeader) {
+	BackendPool(EventLoop eventLoop, InetSocketAddress address, String requestIdHeader, HeldMemory memory) {
 		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
 		this.address = Objects.requireNonNull(address, "address");
 		this.requestIdHeader = Objects.requireNonNull(requestIdHeader, "requestIdHeader");
+		this.memory = Objects.requireNonNull(memory, "memory");
 	}
 
 	/**
@@ -84,7 +87,7 @@
 	private void connect(Listener listener) {
 		int connectionGeneration = this.generation;
 		BackendResponseDecoder decoder = new BackendResponseDecoder();
-		BackendConnection connection = new BackendConnection(this.requestIdHeader, decoder,
+		BackendConnection connection = new BackendConnection(this.requestIdHeader, decoder, this.memory,
 				(idleConnection) -> release(idleConnection, connectionGeneration));
 		ChannelFuture future = Sockets.connect(this.eventLoop, this.address, CONNECT_TIMEOUT_MILLISECONDS,
 				new ChannelInitializer<Channel>() {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
@@ -97,7 +97,8 @@
 	private long unreachableUntil;
 
 	LocalBackend(MeshSettings settings, HeaderNames headerNames, EventLoop eventLoop, Runnable changeListener,
-			IntSupplier knownServices, BackendTrafficLog trafficLog, IncarnationRecords incarnationRecords) {
+			IntSupplier knownServices, BackendTrafficLog trafficLog, IncarnationRecords incarnationRecords,
+			HeldMemory memory) {
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.messages = new BackendMessages(headerNames);
 		this.changeListener = Objects.requireNonNull(changeListener, "changeListener");
@@ -105,7 +106,7 @@
 		this.trafficLog = Objects.requireNonNull(trafficLog, "trafficLog");
 		this.incarnationRecords = Objects.requireNonNull(incarnationRecords, "incarnationRecords");
 		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
-		this.pool = new BackendPool(eventLoop, settings.backendAddress(), headerNames.requestId());
+		this.pool = new BackendPool(eventLoop, settings.backendAddress(), headerNames.requestId(), memory);
 	}
 
 	/**
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshMetrics.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshMetrics.java
@@ -57,6 +57,21 @@
 		.help("Version of the configuration in force")
 		.register(this.registry);
 
+	private final Gauge heldBytes = Gauge.builder()
+		.name("wasabicart_held_bytes")
+		.help("Bytes held for callers, servers and other nodes")
+		.register(this.registry);
+
+	private final Gauge heldBytesPeak = Gauge.builder()
+		.name("wasabicart_held_bytes_peak")
+		.help("Largest number of bytes held at the same time")
+		.register(this.registry);
+
+	private final Gauge memoryGivenUp = Gauge.builder()
+		.name("wasabicart_memory_given_up")
+		.help("Messages given up since the node held too many bytes")
+		.register(this.registry);
+
 	private final Map<String, Map<String, DistributionDataPoint>> dataPoints = new HashMap<>();
 
 	void observeRequest(String route, String outcome, long nanoseconds) {
@@ -78,6 +93,12 @@
 		this.storeEra.set(number);
 	}
 
+	void recordHeldMemory(HeldMemory memory) {
+		this.heldBytes.set(memory.held());
+		this.heldBytesPeak.set(memory.peak());
+		this.memoryGivenUp.set(memory.givenUp());
+	}
+
 	void recordConfigurationVersion(long version) {
 		this.configurationVersion.set(version);
 	}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -99,6 +99,13 @@
 	/** Bodies are held in memory, which the node shares with a backend server. */
 	private static final int MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
 
+	/**
+	 * Share of the heap for what is held for callers, servers and other nodes. A body
+	 * exists twice for a moment when it is passed on, and the rest of the node needs
+	 * memory as well.
+	 */
+	private static final double HELD_MEMORY_SHARE = 0.35;
+
 	private static final int MAXIMUM_INITIAL_LINE_BYTES = 8 * 1024;
 
 	private static final int MAXIMUM_HEADER_BYTES = 64 * 1024;
@@ -151,6 +158,8 @@
 
 	private final RandomGenerator random;
 
+	private final HeldMemory memory;
+
 	private long lastIdleCheck = System.nanoTime();
 
 	private long lastVersionCheck = System.nanoTime();
@@ -188,9 +197,10 @@
 		this.store = new EraCheckedStore(this.probedStore, this::storeEraStarted);
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		this.random = Objects.requireNonNull(random, "random");
+		this.memory = new HeldMemory((long) (Runtime.getRuntime().maxMemory() * HELD_MEMORY_SHARE), eventLoop);
 		IncarnationRecords incarnationRecords = new IncarnationRecords();
 		this.localBackend = new LocalBackend(settings, names, eventLoop, this::publishLocalServer, this::knownServices,
-				new BackendTrafficLog(metrics), incarnationRecords);
+				new BackendTrafficLog(metrics), incarnationRecords, this.memory);
 		this.peers = new Peers(settings.nodeId(), new PeerEnvironment(eventLoop, this::ownPing, this::handlePeerPing,
 				this::recordOrigin, incarnationRecords));
 		this.destinations = new Destinations(this.peers, this.localBackend,
@@ -484,6 +494,7 @@
 		}
 		if (now - this.lastIdleCheck > IDLE_CHECK_INTERVAL_NANOSECONDS) {
 			this.lastIdleCheck = now;
+			this.metrics.recordHeldMemory(this.memory);
 			MeshConfiguration current = this.router.configuration();
 			CallerLimits limits = (current != null) ? current.limits() : CallerLimits.DEFAULT;
 			List.copyOf(this.callerConnections)
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendConnectionTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendConnectionTests.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpMethod;
@@ -21,6 +22,8 @@
 
 	private static final int PIECE_BYTES = 16 * 1024;
 
+	private static final long MEMORY_LIMIT = 3L * BackendConnection.MAXIMUM_BODY_BYTES / 2;
+
 	private final List<String> outcomes = new ArrayList<>();
 
 	/** Request that is sent as soon as the first one has its response. */
@@ -28,7 +31,9 @@
 
 	private final BackendResponseDecoder decoder = new BackendResponseDecoder();
 
-	private final BackendConnection connection = new BackendConnection("Id", this.decoder, (idle) -> {
+	private final HeldMemory memory = new HeldMemory(MEMORY_LIMIT, Runnable::run);
+
+	private final BackendConnection connection = new BackendConnection("Id", this.decoder, this.memory, (idle) -> {
 	});
 
 	private final EmbeddedChannel channel = new EmbeddedChannel(this.decoder, this.connection);
@@ -188,6 +193,35 @@
 		assertEndlessResponseFails("", "\r\n");
 	}
 
+	/**
+	 * Guards against running out of memory when a body arrives in many small parts, each
+	 * of which retained the buffer that it was read into.
+	 */
+	@Test
+	void partsOfABodyDoNotRetainTheBuffersTheyWereReadInto() {
+		send("a");
+		receive("HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+		List<ByteBuf> buffers = new ArrayList<>();
+		for (int i = 0; i < 100; i++) {
+			ByteBuf buffer = Unpooled.copiedBuffer("1\r\nx\r\n", StandardCharsets.US_ASCII);
+			buffers.add(buffer);
+			this.channel.writeInbound(buffer);
+		}
+		assertThat(buffers).allMatch((buffer) -> buffer.refCnt() == 0);
+		receive("0\r\n\r\n");
+		assertThat(this.outcomes).containsExactly("200 " + "x".repeat(100));
+		assertThat(this.memory.held()).isZero();
+	}
+
+	@Test
+	void heldMemoryIsReleasedWhenTheResponseFails() {
+		send("a");
+		receive("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\nshort");
+		assertThat(this.memory.held()).isEqualTo(5);
+		this.channel.close();
+		assertThat(this.memory.held()).isZero();
+	}
+
 	private static final String REFUSAL_WITHOUT_ID = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
 			+ "Content-Length: 0\r\n\r\n";
 
--- /dev/null
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/HeldMemoryTests.java
@@ -0,0 +1,87 @@
+package org.wasabicart.mesh;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a node that holds more than it has memory for, and against giving up
+ * sound messages in place of an endless one.
+ */
+class HeldMemoryTests {
+
+	private static final int UNIT = 100_000;
+
+	private static final long LIMIT = 10L * UNIT;
+
+	private final List<Runnable> tasks = new ArrayList<>();
+
+	private final HeldMemory memory = new HeldMemory(LIMIT, this.tasks::add);
+
+	private final List<String> givenUp = new ArrayList<>();
+
+	private HeldMemory.Holding open(String name, HeldMemory.Kind kind, int units) {
+		HeldMemory.Holding holding = this.memory.open(kind, () -> this.givenUp.add(name));
+		holding.resize((long) units * UNIT);
+		return holding;
+	}
+
+	private void runTasks() {
+		List<Runnable> due = List.copyOf(this.tasks);
+		this.tasks.clear();
+		due.forEach(Runnable::run);
+	}
+
+	@Test
+	void nothingIsGivenUpWithinTheLimit() {
+		open("a", HeldMemory.Kind.UNBOUNDED, 10);
+		assertThat(this.tasks).isEmpty();
+		assertThat(this.memory.fits(0)).isTrue();
+		assertThat(this.memory.fits(1)).isFalse();
+	}
+
+	@Test
+	void endlessMessageIsGivenUpBeforeLargerOnes() {
+		open("response", HeldMemory.Kind.INCOMPLETE, 7);
+		open("endless", HeldMemory.Kind.UNBOUNDED, 3);
+		open("unread", HeldMemory.Kind.UNREAD, 2);
+		runTasks();
+		assertThat(this.givenUp).containsExactly("endless");
+		assertThat(this.memory.held()).isEqualTo(9L * UNIT);
+	}
+
+	@Test
+	void largestMessagesAreGivenUpUntilTheOthersFit() {
+		open("a", HeldMemory.Kind.UNBOUNDED, 1);
+		open("b", HeldMemory.Kind.UNBOUNDED, 7);
+		open("c", HeldMemory.Kind.UNBOUNDED, 6);
+		open("d", HeldMemory.Kind.UNBOUNDED, 8);
+		runTasks();
+		assertThat(this.givenUp).containsExactly("d", "b");
+		assertThat(this.memory.givenUp()).isEqualTo(2);
+		assertThat(this.memory.peak()).isEqualTo(22L * UNIT);
+	}
+
+	@Test
+	void fixedAndSmallHoldingsAreNotGivenUp() {
+		open("fixed", HeldMemory.Kind.FIXED, 12);
+		HeldMemory.Holding small = this.memory.open(HeldMemory.Kind.UNREAD, () -> this.givenUp.add("small"));
+		small.resize(1);
+		runTasks();
+		assertThat(this.givenUp).isEmpty();
+	}
+
+	@Test
+	void releasedHoldingIsNotGivenUp() {
+		HeldMemory.Holding released = open("released", HeldMemory.Kind.UNBOUNDED, 9);
+		open("other", HeldMemory.Kind.UNBOUNDED, 8);
+		released.release();
+		runTasks();
+		assertThat(this.givenUp).isEmpty();
+		assertThat(this.memory.underPressure()).isTrue();
+	}
+
+}
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/LinkTests.java
@@ -67,7 +67,8 @@
 				new InetSocketAddress("127.0.0.1", 3), Duration.ofSeconds(2), Duration.ofSeconds(6),
 				new RepeatSettings(0.2));
 		return new LocalBackend(settings, TestHeaders.NAMES, this.channel.eventLoop(), () -> {
-		}, () -> 1, new BackendTrafficLog(new MeshMetrics()), new IncarnationRecords());
+		}, () -> 1, new BackendTrafficLog(new MeshMetrics()), new IncarnationRecords(),
+				new HeldMemory(Long.MAX_VALUE, Runnable::run));
 	}
 
 	private static NodeCalls nodeCalls() {
