Refuse what a stopping node cannot answer in time

Callers got no answer for orders that had run: a stopping node passed them on and cut them off at its end.

Cause: the node took requests for half of the grace period and ended at five sixths of it, whatever time the requests needed.

Change: the node keeps the longest recent response time of each route. A stopping node refuses a request that could not end in time, with 503 and before it has run. The node beside a server refuses calls of other nodes by the same rule.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -24,6 +24,7 @@
 import org.wasabicart.core.mesh.MeshConfiguration;
 import org.wasabicart.core.mesh.MeshRoute;
 import org.wasabicart.core.mesh.RequestOutcome;
+import org.wasabicart.core.mesh.ResponseTimes;
 import org.wasabicart.core.mesh.WeightedRoundRobin;
 import org.wasabicart.core.model.NodeId;
 import org.wasabicart.core.model.ServiceName;
@@ -54,6 +55,9 @@
 	 */
 	private static final int MAXIMUM_OVERLOAD_REFUSALS = 2;
 
+	/** Time for which a response time tells how long the next requests may take. */
+	private static final long RESPONSE_TIME_WINDOW_NANOSECONDS = TimeUnit.SECONDS.toNanos(10);
+
 	private final EntryRequestReader reader;
 
 	private final EventLoop eventLoop;
@@ -70,12 +74,18 @@
 
 	private final Map<String, WeightedRoundRobin> roundRobins = new HashMap<>();
 
+	private final ResponseTimes responseTimes = new ResponseTimes(RESPONSE_TIME_WINDOW_NANOSECONDS);
+
 	private MeshConfiguration configuration;
 
 	private int activeRequests;
 
 	private boolean refusingNewRequests;
 
+	private boolean stopping;
+
+	private long stopEnd;
+
 	/**
 	 * Creates a router.
 	 * @param reader converts requests to calls
@@ -123,6 +133,15 @@
 		return this.activeRequests;
 	}
 
+	/**
+	 * Refuses further requests that cannot be expected to end in time.
+	 * @param end time in nanoseconds at which the node stops and cuts off open requests
+	 */
+	void stopAt(long end) {
+		this.stopping = true;
+		this.stopEnd = end;
+	}
+
 	/**
 	 * Refuses all further requests, since the node is about to stop.
 	 */
@@ -206,13 +225,17 @@
 			this.service = EntryRouter.this.roundRobins
 				.computeIfAbsent(this.route.name(), (name) -> new WeightedRoundRobin())
 				.next(this.route.shares());
+			this.call = EntryRouter.this.reader.toCall(request, this.route,
+					this.start - EntryRouter.this.receiveDelay.getAsLong());
+			if (!endsBeforeStop()) {
+				refuse("stopping");
+				return;
+			}
 			if (!EntryRouter.this.limits.admit(this.route, this.start)) {
 				refuse("throttled");
 				return;
 			}
 			this.admitted = true;
-			this.call = EntryRouter.this.reader.toCall(request, this.route,
-					this.start - EntryRouter.this.receiveDelay.getAsLong());
 			if (this.call.deadline() - this.start <= 0) {
 				refuse("expired");
 				return;
@@ -223,6 +246,15 @@
 			attempt();
 		}
 
+		private boolean endsBeforeStop() {
+			if (!EntryRouter.this.stopping) {
+				return true;
+			}
+			long limit = this.call.deadline() - this.start;
+			long expected = EntryRouter.this.responseTimes.expected(this.route.name(), limit, this.start);
+			return this.start + expected - EntryRouter.this.stopEnd <= 0;
+		}
+
 		private void attempt() {
 			long now = System.nanoTime();
 			MemberStatus chosen = null;
@@ -389,8 +421,12 @@
 			if (!end()) {
 				return;
 			}
+			long now = System.nanoTime();
 			EntryRouter.this.metrics.observeRequest((this.route != null) ? this.route.name() : "", outcome,
-					System.nanoTime() - this.start);
+					now - this.start);
+			if (this.sends > 0) {
+				EntryRouter.this.responseTimes.record(this.route.name(), now - this.start, now);
+			}
 			this.listener.accept(response);
 		}
 
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
@@ -20,6 +20,7 @@
 import org.wasabicart.core.mesh.IncarnationRecords;
 import org.wasabicart.core.mesh.MemberLoadReport;
 import org.wasabicart.core.mesh.MeshMember;
+import org.wasabicart.core.mesh.ResponseTimes;
 import org.wasabicart.core.mesh.ServerState;
 import org.wasabicart.core.mesh.SlotGate;
 import org.wasabicart.core.model.NodeAddress;
@@ -54,6 +55,9 @@
 	 */
 	private static final int NESTED_WAIT_FACTOR = 4;
 
+	/** Time for which a response time tells how long the next calls may take. */
+	private static final long RESPONSE_TIME_WINDOW = TimeUnit.SECONDS.toNanos(10);
+
 	private final MeshSettings settings;
 
 	private final BackendMessages messages;
@@ -86,8 +90,12 @@
 
 	private long departureTime;
 
+	private final ResponseTimes responseTimes = new ResponseTimes(RESPONSE_TIME_WINDOW);
+
 	private boolean stopping;
 
+	private long stopEnd;
+
 	private boolean draining;
 
 	private long drainAcceptEnd;
@@ -200,9 +208,11 @@
 
 	/**
 	 * Drains the server, since this node stops.
+	 * @param end time in nanoseconds at which the node stops and cuts off open calls
 	 */
-	void stop() {
+	void stop(long end) {
 		this.stopping = true;
+		this.stopEnd = end;
 		startDrain();
 		this.changeListener.run();
 	}
@@ -325,12 +335,20 @@
 		if (this.draining && now - this.drainAcceptEnd >= 0) {
 			return GateRefusal.DRAINING;
 		}
+		if (this.stopping && !endsBeforeStop(call, now)) {
+			return GateRefusal.DRAINING;
+		}
 		if (this.unreachable && now - this.unreachableUntil < 0) {
 			return GateRefusal.UNREACHABLE;
 		}
 		return (call.deadline() - now < MINIMUM_REMAINING) ? GateRefusal.EXPIRED : null;
 	}
 
+	private boolean endsBeforeStop(Call call, long now) {
+		long expected = this.responseTimes.expected(call.route(), call.deadline() - now, now);
+		return now + expected - this.stopEnd <= 0;
+	}
+
 	/**
 	 * Ends calls that have waited or run for too long and closes idle connections.
 	 * @param now current time in nanoseconds
@@ -490,6 +508,7 @@
 				long now = System.nanoTime();
 				LocalBackend.this.running.remove(this);
 				boolean measured = result instanceof CallResult.Answered;
+				LocalBackend.this.responseTimes.record(this.call.route(), now - this.started, now);
 				this.assignedGate.finished(measured ? now - this.started : -1, now);
 			}
 			if (result instanceof CallResult.Refused) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -83,6 +83,12 @@
 	 */
 	private static final double STOP_GRACE_SHARE = 5 / 6.0;
 
+	/**
+	 * Time between the last response that is waited for and the end of the node, in which
+	 * the response reaches the caller.
+	 */
+	private static final long STOP_MARGIN_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(150);
+
 	/**
 	 * Share of the grace period after which new requests are refused, so that none is cut
 	 * off when the node stops.
@@ -513,7 +519,10 @@
 			if (!this.stopping) {
 				this.stopping = true;
 				this.stopStart = System.nanoTime();
-				this.localBackend.stop();
+				long end = this.stopStart + (long) (this.settings.grace().toNanos() * STOP_GRACE_SHARE)
+						- STOP_MARGIN_NANOSECONDS;
+				this.router.stopAt(end);
+				this.localBackend.stop(end);
 				// The store may be away, so the other nodes are notified directly as
 				// well.
 				List.copyOf(this.serverLinks).forEach(ServerLink::reportState);
