Fail responses without a length that are reset during the request

Cause: while the request is still being written, a reset shows as a failed write. Netty closes the channel without an exception in the pipeline, and the decoder takes the end of the channel for that of the body.

Change: a write that fails with an error of the operating system fails the outstanding request at once.

Evidence: ResetResponseTests, with real connections, fails without the change ("200 with 1000 bytes" in place of "connection-reset") and passes with it, as do the 65 tests of BackendConnectionTests.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendConnection.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendConnection.java
@@ -1,6 +1,7 @@
 package org.wasabicart.mesh;
 
 import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.util.Objects;
 import java.util.function.Consumer;
 
@@ -90,7 +91,21 @@
 			return;
 		}
 		this.decoder.expect(method);
-		this.channel.writeAndFlush(message);
+		Exchange sent = this.exchange;
+		this.channel.writeAndFlush(message).addListener((written) -> {
+			if (this.exchange == sent && !written.isSuccess()) {
+				handleWriteFailure(written.cause());
+			}
+		});
+	}
+
+	// A reset that shows on a write closes the channel without an exception in the
+	// pipeline, and the decoder takes the end of the channel for that of a body without a
+	// length. The other failures of a write are consequences of a closed channel.
+	private void handleWriteFailure(Throwable cause) {
+		if (!(cause instanceof ClosedChannelException)) {
+			fail("connection-reset");
+		}
 	}
 
 	long idleSince() {
