Hold what peers have yet to read within a limit and outside direct memory

Cause: each response was encoded to one direct buffer at once, whether or not its caller read, and up to 64 requests of a connection ran at the same time. With the direct memory used up, each read runs a garbage collection and fails. Frames of links and request bodies had the same fault.

Change: PacedWriteHandler keeps unread messages in the heap and writes them in pieces, for callers, links and servers. A connection runs four requests at once, and further ones wait while the caller does not read. Request bodies and frames are collected in the heap. All of this counts as held memory, and near its limit requests with long bodies are refused.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendMessages.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendMessages.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -49,8 +50,9 @@
 	 * @return the complete message
 	 */
 	ByteBuf request(Call call, long remainingMilliseconds, ByteBufAllocator allocator) {
-		ByteBuf message = allocator
-			.ioBuffer(INITIAL_HEAD_BYTES + call.target().length() + call.headers().size() + call.body().length);
+		boolean longBody = call.body().length > PacedWriteHandler.PIECE_BYTES;
+		ByteBuf message = allocator.ioBuffer(INITIAL_HEAD_BYTES + call.target().length() + call.headers().size()
+				+ (longBody ? 0 : call.body().length));
 		ByteBufUtil.writeAscii(message, call.method());
 		message.writeByte(' ');
 		ByteBufUtil.writeAscii(message, call.target());
@@ -64,8 +66,10 @@
 		HeaderBlock.writeField(message, this.headerNames.expectedInstance(), call.instance());
 		HeaderBlock.writeField(message, this.headerNames.callerService(), call.callerService());
 		HeaderBlock.endLine(message);
-		message.writeBytes(call.body());
-		return message;
+		if (longBody) {
+			return Unpooled.wrappedBuffer(message, Unpooled.wrappedBuffer(call.body()));
+		}
+		return message.writeBytes(call.body());
 	}
 
 	/**
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendPool.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendPool.java
@@ -93,7 +93,9 @@
 				new ChannelInitializer<Channel>() {
 					@Override
 					protected void initChannel(Channel channel) {
-						channel.pipeline().addLast(decoder, connection);
+						channel.pipeline()
+							.addLast(new PacedWriteHandler(BackendPool.this.memory, HeldMemory.Kind.FIXED), decoder,
+									connection);
 					}
 				});
 		future.addListener((connected) -> {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryConnection.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryConnection.java
@@ -9,6 +9,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -19,6 +20,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import org.jboss.logging.Logger;
@@ -31,9 +33,16 @@
 
 	private static final Logger logger = Logger.getLogger(EntryConnection.class);
 
-	/** Requests of one connection that run concurrently before reading pauses. */
+	/** Requests of one connection that are read before their responses are written. */
 	private static final int MAXIMUM_PIPELINED = 64;
 
+	/**
+	 * Requests of one connection that run concurrently. Their responses are held until
+	 * the caller has read the earlier ones, so more of them would take more memory
+	 * without being delivered sooner.
+	 */
+	private static final int MAXIMUM_RUNNING = 4;
+
 	private static final byte[] NO_BODY = {};
 
 	private static final AsciiString VERSION_PREFIX = AsciiString.cached("HTTP/1.1 ");
@@ -47,10 +56,22 @@
 
 	private final BooleanSupplier closing;
 
+	/** Requests without a written response, in the order of their arrival. */
 	private final Deque<PipelinedRequest> pending = new ArrayDeque<>();
 
+	/** Pending requests that have not been started. */
+	private final Deque<PipelinedRequest> waiting = new ArrayDeque<>();
+
 	private final Set<EntryConnection> openConnections;
 
+	private final HeldMemory memory;
+
+	private final HeldMemory.Holding requestHolding;
+
+	private final HeldMemory.Holding responseHolding;
+
+	private final PacedWriteHandler writer;
+
 	private Channel channel;
 
 	private ChannelHandlerContext outboundContext;
@@ -59,23 +80,32 @@
 
 	private boolean closeSent;
 
+	private int running;
+
 	/**
 	 * Creates a handler for one connection.
 	 * @param handler handles requests
 	 * @param closing whether connections are closed after their next response
 	 * @param openConnections open connections, which contain this one while it is open
+	 * @param memory account of the bytes that the node holds
+	 * @param writer first handler of the pipeline
 	 */
-	EntryConnection(EntryHandler handler, BooleanSupplier closing, Set<EntryConnection> openConnections) {
+	EntryConnection(EntryHandler handler, BooleanSupplier closing, Set<EntryConnection> openConnections,
+			HeldMemory memory, PacedWriteHandler writer) {
 		this.handler = Objects.requireNonNull(handler, "handler");
 		this.closing = Objects.requireNonNull(closing, "closing");
 		this.openConnections = Objects.requireNonNull(openConnections, "openConnections");
+		this.memory = Objects.requireNonNull(memory, "memory");
+		this.writer = Objects.requireNonNull(writer, "writer");
+		this.requestHolding = memory.open(HeldMemory.Kind.FIXED, () -> {
+		});
+		this.responseHolding = memory.open(HeldMemory.Kind.UNREAD, () -> this.channel.close());
 	}
 
 	@Override
 	public void handlerAdded(ChannelHandlerContext context) {
 		this.channel = context.channel();
-		// Responses are already encoded and bypass the encoder of the pipeline.
-		this.outboundContext = this.channel.pipeline().firstContext();
+		this.outboundContext = context;
 	}
 
 	@Override
@@ -91,52 +121,100 @@
 	}
 
 	private void handleRequest(FullHttpRequest request) {
-		PipelinedRequest pipelined = new PipelinedRequest(HttpUtil.isKeepAlive(request),
-				HttpMethod.HEAD.equals(request.method()));
+		PipelinedRequest pipelined = new PipelinedRequest(request);
 		this.pending.add(pipelined);
 		if (request.decoderResult().isFailure()) {
 			pipelined.keepAlive = false;
-			pipelined.respond(EntryResponse.withoutBody(HttpResponseStatus.BAD_REQUEST.code()));
+			pipelined.respond(EntryResponse.withoutBody(failureStatus(request).code()));
 			return;
 		}
+		pipelined.wait(request);
 		if (this.pending.size() >= MAXIMUM_PIPELINED) {
 			this.channel.config().setAutoRead(false);
 		}
-		pipelined.handle = this.handler.handle(request, this.channel.remoteAddress(), pipelined::respond);
+		startWaiting();
+	}
+
+	private static HttpResponseStatus failureStatus(FullHttpRequest request) {
+		return (request.decoderResult().cause() instanceof TooLongHttpContentException)
+				? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : HttpResponseStatus.BAD_REQUEST;
+	}
+
+	private void startWaiting() {
+		while (!this.waiting.isEmpty() && !this.closeSent && mayStart()) {
+			this.waiting.pollFirst().start();
+		}
+	}
+
+	// A request that is sent behind others waits while the caller does not read, or while
+	// the node is short of memory.
+	private boolean mayStart() {
+		if (!this.writer.writable()) {
+			return false;
+		}
+		return this.pending.peekFirst() == this.waiting.peekFirst()
+				|| this.running < MAXIMUM_RUNNING && !this.memory.underPressure();
 	}
 
 	private void flush() {
 		boolean written = false;
-		while (!this.pending.isEmpty() && this.pending.peekFirst().response != null && !this.closeSent) {
-			PipelinedRequest pipelined = this.pending.pollFirst();
-			write(pipelined);
+		while (mayWrite()) {
+			while (mayWrite()) {
+				PipelinedRequest pipelined = this.pending.pollFirst();
+				this.responseHolding.resize(this.responseHolding.bytes() - pipelined.response.body().length);
+				write(pipelined);
+			}
+			// The caller may read a long response at once, so that the next one can
+			// follow.
+			this.channel.flush();
 			written = true;
 		}
 		if (written) {
 			this.lastResponseTime = System.nanoTime();
-			this.channel.flush();
 			if (!this.closeSent && this.pending.size() < MAXIMUM_PIPELINED) {
 				this.channel.config().setAutoRead(true);
 			}
 		}
 	}
 
+	private boolean mayWrite() {
+		return !this.pending.isEmpty() && this.pending.peekFirst().response != null && !this.closeSent
+				&& this.writer.writable();
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		flush();
+		startWaiting();
+	}
+
 	private void write(PipelinedRequest pipelined) {
 		EntryResponse response = pipelined.response;
 		boolean close = !pipelined.keepAlive || this.closing.getAsBoolean() && this.pending.isEmpty();
-		ByteBuf message = encode(response, pipelined.headMethod, close);
+		byte[] body = pipelined.headMethod ? NO_BODY : response.body();
+		if (body.length > PacedWriteHandler.PIECE_BYTES) {
+			writeMessage(encode(response, pipelined.headMethod, close, NO_BODY), false);
+			writeMessage(Unpooled.wrappedBuffer(body), close);
+		}
+		else {
+			writeMessage(encode(response, pipelined.headMethod, close, body), close);
+		}
 		if (close) {
 			this.closeSent = true;
-			this.outboundContext.write(message).addListener(ChannelFutureListener.CLOSE);
 			cancelAll();
 		}
+	}
+
+	private void writeMessage(ByteBuf message, boolean close) {
+		if (close) {
+			this.outboundContext.write(message).addListener(ChannelFutureListener.CLOSE);
+		}
 		else {
 			this.outboundContext.write(message, this.outboundContext.voidPromise());
 		}
 	}
 
-	private ByteBuf encode(EntryResponse response, boolean headMethod, boolean close) {
-		byte[] body = headMethod ? NO_BODY : response.body();
+	private ByteBuf encode(EntryResponse response, boolean headMethod, boolean close, byte[] body) {
 		HttpResponseStatus status = HttpResponseStatus.valueOf(response.status());
 		ByteBuf message = this.channel.alloc().ioBuffer(RESERVED_HEAD_BYTES + response.headers().size() + body.length);
 		ByteBufUtil.writeAscii(message, VERSION_PREFIX);
@@ -147,7 +225,7 @@
 		response.headers().writeTo(message);
 		if (!headMethod && response.status() != HttpResponseStatus.NO_CONTENT.code()
 				&& response.status() != HttpResponseStatus.NOT_MODIFIED.code()) {
-			HeaderBlock.writeField(message, HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length));
+			HeaderBlock.writeField(message, HttpHeaderNames.CONTENT_LENGTH, Integer.toString(response.body().length));
 		}
 		if (close) {
 			HeaderBlock.writeField(message, HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -159,7 +237,10 @@
 	private void cancelAll() {
 		List<PipelinedRequest> unanswered = List.copyOf(this.pending);
 		this.pending.clear();
+		this.waiting.clear();
 		unanswered.forEach(PipelinedRequest::cancel);
+		this.requestHolding.release();
+		this.responseHolding.release();
 	}
 
 	/**
@@ -199,26 +280,70 @@
 
 		private final boolean headMethod;
 
+		private final long arrival = System.nanoTime();
+
 		private boolean keepAlive;
 
+		private FullHttpRequest request;
+
+		private int requestBytes;
+
 		private CallHandle handle;
 
+		private boolean started;
+
 		private EntryResponse response;
 
-		PipelinedRequest(boolean keepAlive, boolean headMethod) {
-			this.keepAlive = keepAlive;
-			this.headMethod = headMethod;
+		PipelinedRequest(FullHttpRequest request) {
+			this.keepAlive = HttpUtil.isKeepAlive(request);
+			this.headMethod = HttpMethod.HEAD.equals(request.method());
+		}
+
+		private void wait(FullHttpRequest value) {
+			this.request = value.retain();
+			this.requestBytes = value.content().readableBytes();
+			EntryConnection.this.requestHolding.resize(EntryConnection.this.requestHolding.bytes() + this.requestBytes);
+			EntryConnection.this.waiting.add(this);
+		}
+
+		private void start() {
+			FullHttpRequest value = this.request;
+			this.request = null;
+			this.started = true;
+			EntryConnection.this.running++;
+			try {
+				this.handle = EntryConnection.this.handler.handle(value, this.arrival,
+						EntryConnection.this.channel.remoteAddress(), this::respond);
+			}
+			finally {
+				value.release();
+			}
 		}
 
 		private void respond(EntryResponse value) {
-			if (this.response == null) {
-				this.response = value;
-				flush();
+			if (this.response != null) {
+				return;
+			}
+			this.response = value;
+			if (this.started) {
+				EntryConnection.this.running--;
 			}
+			if (EntryConnection.this.closeSent) {
+				return;
+			}
+			EntryConnection.this.requestHolding.resize(EntryConnection.this.requestHolding.bytes() - this.requestBytes);
+			EntryConnection.this.responseHolding
+				.resize(EntryConnection.this.responseHolding.bytes() + value.body().length);
+			flush();
+			startWaiting();
 		}
 
 		private void cancel() {
-			if (this.response == null && this.handle != null) {
+			if (this.request != null) {
+				this.request.release();
+				this.request = null;
+			}
+			else if (this.response == null && this.handle != null) {
 				this.handle.cancel();
 			}
 		}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryHandler.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryHandler.java
@@ -14,10 +14,11 @@
 	/**
 	 * Handles one request.
 	 * @param request request, which is released after this method returns
+	 * @param arrival time in nanoseconds at which the request was read
 	 * @param caller address of the caller
 	 * @param listener receives the response, possibly before this method returns
 	 * @return handle to cancel the request when the caller disconnects
 	 */
-	CallHandle handle(FullHttpRequest request, SocketAddress caller, Consumer<EntryResponse> listener);
+	CallHandle handle(FullHttpRequest request, long arrival, SocketAddress caller, Consumer<EntryResponse> listener);
 
 }
--- /dev/null
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRequestCollector.java
@@ -0,0 +1,127 @@
+package org.wasabicart.mesh;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.util.CharsetUtil;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Collects each request with its body, which is copied to the heap. A request that cannot
+ * be decoded or whose body is too large is passed on with a failed decoder result and
+ * without a body.
+ */
+final class EntryRequestCollector extends ChannelInboundHandlerAdapter {
+
+	private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
+
+	private final int maximumBodyBytes;
+
+	private final HeldMemory.Holding holding;
+
+	private final BodyAccumulator body = new BodyAccumulator();
+
+	private ChannelHandlerContext context;
+
+	private HttpRequest head;
+
+	/**
+	 * Creates a collector for one connection.
+	 * @param maximumBodyBytes largest accepted body in bytes
+	 * @param memory account of the bytes that the node holds
+	 */
+	EntryRequestCollector(int maximumBodyBytes, HeldMemory memory) {
+		this.maximumBodyBytes = maximumBodyBytes;
+		// A closed connection tells the caller that its request was not read.
+		this.holding = memory.open(HeldMemory.Kind.INCOMPLETE, () -> this.context.close());
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext addedContext) {
+		this.context = addedContext;
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext readContext, Object message) {
+		try {
+			read(readContext, (HttpObject) message);
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	private void read(ChannelHandlerContext readContext, HttpObject message) {
+		if (message instanceof HttpRequest request) {
+			this.head = request;
+			if (HttpUtil.getContentLength(request, 0L) > this.maximumBodyBytes) {
+				reject(readContext, tooLarge());
+			}
+			else if (HttpUtil.is100ContinueExpected(request)) {
+				readContext.writeAndFlush(Unpooled.copiedBuffer(CONTINUE, CharsetUtil.US_ASCII));
+			}
+		}
+		if (this.head == null) {
+			return;
+		}
+		if (message.decoderResult().isFailure()) {
+			reject(readContext, message.decoderResult());
+			return;
+		}
+		if (message instanceof HttpContent content) {
+			append(readContext, content.content());
+		}
+		if (message instanceof LastHttpContent && this.head != null) {
+			this.holding.release();
+			pass(readContext, Unpooled.wrappedBuffer(this.body.take()), DecoderResult.SUCCESS);
+		}
+	}
+
+	private void append(ChannelHandlerContext readContext, ByteBuf content) {
+		if (this.body.size() + content.readableBytes() > this.maximumBodyBytes) {
+			reject(readContext, tooLarge());
+			return;
+		}
+		this.body.append(content);
+		this.holding.resize(this.body.size());
+	}
+
+	private static DecoderResult tooLarge() {
+		return DecoderResult.failure(new TooLongHttpContentException("Body exceeds the maximum size"));
+	}
+
+	private void reject(ChannelHandlerContext readContext, DecoderResult failure) {
+		this.holding.release();
+		this.body.clear();
+		pass(readContext, Unpooled.EMPTY_BUFFER, failure);
+	}
+
+	private void pass(ChannelHandlerContext readContext, ByteBuf content, DecoderResult result) {
+		HttpRequest request = this.head;
+		this.head = null;
+		FullHttpRequest message = new DefaultFullHttpRequest(request.protocolVersion(), request.method(), request.uri(),
+				content, request.headers(), EmptyHttpHeaders.INSTANCE);
+		message.setDecoderResult(result);
+		readContext.fireChannelRead(message);
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext inactiveContext) {
+		this.holding.release();
+		this.body.clear();
+		this.head = null;
+		inactiveContext.fireChannelInactive();
+	}
+
+}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -55,6 +55,11 @@
 	 */
 	private static final int MAXIMUM_OVERLOAD_REFUSALS = 2;
 
+	/**
+	 * Size of a body from which a request is refused when the node is short of memory.
+	 */
+	private static final int LARGE_BODY_BYTES = 16 * 1024;
+
 	/** Time for which a response time tells how long the next requests may take. */
 	private static final long RESPONSE_TIME_WINDOW_NANOSECONDS = TimeUnit.SECONDS.toNanos(10);
 
@@ -72,6 +77,8 @@
 
 	private final LongSupplier receiveDelay;
 
+	private final HeldMemory memory;
+
 	private final Map<String, WeightedRoundRobin> roundRobins = new HashMap<>();
 
 	private final ResponseTimes responseTimes = new ResponseTimes(RESPONSE_TIME_WINDOW_NANOSECONDS);
@@ -96,9 +103,10 @@
 	 * @param decisions log of decisions
 	 * @param receiveDelay returns the time in nanoseconds for which data that is read now
 	 * may have been buffered
+	 * @param memory account of the bytes that the node holds
 	 */
 	EntryRouter(EntryRequestReader reader, EventLoop eventLoop, Destinations destinations, EntryLimits limits,
-			MeshMetrics metrics, DecisionLog decisions, LongSupplier receiveDelay) {
+			MeshMetrics metrics, DecisionLog decisions, LongSupplier receiveDelay, HeldMemory memory) {
 		this.reader = Objects.requireNonNull(reader, "reader");
 		this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
 		this.destinations = Objects.requireNonNull(destinations, "destinations");
@@ -106,6 +114,7 @@
 		this.metrics = Objects.requireNonNull(metrics, "metrics");
 		this.decisions = Objects.requireNonNull(decisions, "decisions");
 		this.receiveDelay = Objects.requireNonNull(receiveDelay, "receiveDelay");
+		this.memory = Objects.requireNonNull(memory, "memory");
 	}
 
 	/**
@@ -150,8 +159,9 @@
 	}
 
 	@Override
-	public CallHandle handle(FullHttpRequest request, SocketAddress caller, Consumer<EntryResponse> listener) {
-		Exchange exchange = new Exchange(request, listener);
+	public CallHandle handle(FullHttpRequest request, long arrival, SocketAddress caller,
+			Consumer<EntryResponse> listener) {
+		Exchange exchange = new Exchange(request, arrival, listener);
 		exchange.start(request);
 		return exchange::cancel;
 	}
@@ -165,6 +175,9 @@
 
 		private final String requestId;
 
+		/** Arrival of the request, which may have waited behind others. */
+		private final long arrival;
+
 		private final long start = System.nanoTime();
 
 		private final Set<NodeId> usedNodes = new HashSet<>();
@@ -197,7 +210,8 @@
 
 		private boolean ended;
 
-		Exchange(FullHttpRequest request, Consumer<EntryResponse> listener) {
+		Exchange(FullHttpRequest request, long arrival, Consumer<EntryResponse> listener) {
+			this.arrival = arrival;
 			this.listener = listener;
 			this.requestId = EntryRouter.this.reader.requestId(request);
 		}
@@ -226,7 +240,11 @@
 				.computeIfAbsent(this.route.name(), (name) -> new WeightedRoundRobin())
 				.next(this.route.shares());
 			this.call = EntryRouter.this.reader.toCall(request, this.route,
-					this.start - EntryRouter.this.receiveDelay.getAsLong());
+					this.arrival - EntryRouter.this.receiveDelay.getAsLong());
+			if (request.content().readableBytes() >= LARGE_BODY_BYTES && EntryRouter.this.memory.full()) {
+				refuse("memory");
+				return;
+			}
 			if (!endsBeforeStop()) {
 				refuse("stopping");
 				return;
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/FrameCodec.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/FrameCodec.java
@@ -1,13 +1,13 @@
 package org.wasabicart.mesh;
 
 import java.io.IOException;
-import java.util.List;
 
 import com.google.protobuf.CodedOutputStream;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
-import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.handler.codec.MessageToByteEncoder;
 import io.netty.handler.codec.TooLongFrameException;
 
@@ -25,31 +25,84 @@
 	private FrameCodec() {
 	}
 
-	static void addTo(ChannelPipeline pipeline) {
-		pipeline.addLast(new Decoder(), new Encoder());
+	/**
+	 * Adds the codec to the empty pipeline of a link.
+	 * @param pipeline pipeline
+	 * @param memory account of the bytes that the node holds
+	 */
+	static void addTo(ChannelPipeline pipeline, HeldMemory memory) {
+		pipeline.addLast(new PacedWriteHandler(memory, HeldMemory.Kind.FIXED), new Decoder(memory), new Encoder());
 	}
 
 	/**
-	 * Decodes a frame once all of its bytes have arrived.
+	 * Decodes a frame once all of its bytes have arrived. The bytes of an incomplete
+	 * frame are held in the heap.
 	 */
-	private static final class Decoder extends ByteToMessageDecoder {
+	private static final class Decoder extends ChannelInboundHandlerAdapter {
+
+		private final HeldMemory.Holding holding;
+
+		private final ByteBuf prefix = Unpooled.buffer(Integer.BYTES, Integer.BYTES);
+
+		private final BodyAccumulator content = new BodyAccumulator();
+
+		private int length = -1;
+
+		Decoder(HeldMemory memory) {
+			this.holding = memory.open(HeldMemory.Kind.FIXED, () -> {
+			});
+		}
 
 		@Override
-		protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output) throws IOException {
-			if (input.readableBytes() < Integer.BYTES) {
-				return;
+		public void channelRead(ChannelHandlerContext context, Object message) throws IOException {
+			ByteBuf input = (ByteBuf) message;
+			try {
+				while (input.isReadable() && (this.length >= 0 || readLength(input))) {
+					readContent(context, input);
+				}
+			}
+			finally {
+				input.release();
+				this.holding.resize(this.content.size());
 			}
-			int length = input.getInt(input.readerIndex());
-			if (length < 0 || length > MAXIMUM_FRAME_BYTES) {
+		}
+
+		private boolean readLength(ByteBuf input) {
+			input.readBytes(this.prefix, Math.min(input.readableBytes(), this.prefix.writableBytes()));
+			if (this.prefix.isWritable()) {
+				return false;
+			}
+			this.length = this.prefix.readInt();
+			this.prefix.clear();
+			if (this.length < 0 || this.length > MAXIMUM_FRAME_BYTES) {
 				throw new TooLongFrameException(
-						"Frame exceeds the maximum size: " + Integer.toUnsignedString(length) + " bytes");
+						"Frame exceeds the maximum size: " + Integer.toUnsignedString(this.length) + " bytes");
+			}
+			return true;
+		}
+
+		private void readContent(ChannelHandlerContext context, ByteBuf input) throws IOException {
+			int missing = this.length - this.content.size();
+			if (input.readableBytes() < missing) {
+				this.content.append(input);
+				return;
 			}
-			if (input.readableBytes() - Integer.BYTES < length) {
+			this.length = -1;
+			if (this.content.size() == 0) {
+				MeshFrame frame = MeshFrame.parseFrom(input.nioBuffer(input.readerIndex(), missing));
+				input.skipBytes(missing);
+				context.fireChannelRead(frame);
 				return;
 			}
-			input.skipBytes(Integer.BYTES);
-			output.add(MeshFrame.parseFrom(input.nioBuffer(input.readerIndex(), length)));
-			input.skipBytes(length);
+			this.content.append(input.readSlice(missing));
+			context.fireChannelRead(MeshFrame.parseFrom(this.content.take()));
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			this.content.clear();
+			this.holding.release();
+			context.fireChannelInactive();
 		}
 
 	}
@@ -65,7 +118,10 @@
 
 		@Override
 		protected ByteBuf allocateBuffer(ChannelHandlerContext context, MeshFrame frame, boolean preferDirect) {
-			return context.alloc().ioBuffer(Integer.BYTES + frame.getSerializedSize());
+			int length = Integer.BYTES + frame.getSerializedSize();
+			// Long frames are written in pieces, and need no direct memory as a whole.
+			return (length <= PacedWriteHandler.PIECE_BYTES) ? context.alloc().ioBuffer(length)
+					: context.alloc().heapBuffer(length);
 		}
 
 		@Override
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/HeldMemory.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/HeldMemory.java
@@ -25,6 +25,9 @@
 	/** Share of the limit above which new work that can wait should wait. */
 	private static final double PRESSURE_SHARE = 0.5;
 
+	/** Share of the limit above which large messages are refused. */
+	private static final double FULL_SHARE = 0.9;
+
 	private final long limit;
 
 	private final Executor executor;
@@ -68,12 +71,11 @@
 	}
 
 	/**
-	 * Returns whether a number of bytes fits into the limit.
-	 * @param bytes number of bytes
-	 * @return whether they fit
+	 * Returns whether messages would have to be given up for further ones.
+	 * @return whether almost the whole limit is used up
 	 */
-	boolean fits(long bytes) {
-		return this.held + bytes <= this.limit;
+	boolean full() {
+		return this.held > this.limit * FULL_SHARE;
 	}
 
 	long held() {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -16,9 +16,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestDecoder;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.jboss.logging.Logger;
 
 import org.wasabicart.core.mesh.CallOrigin;
@@ -208,12 +206,12 @@
 		this.localBackend = new LocalBackend(settings, names, eventLoop, this::publishLocalServer, this::knownServices,
 				new BackendTrafficLog(metrics), incarnationRecords, this.memory);
 		this.peers = new Peers(settings.nodeId(), new PeerEnvironment(eventLoop, this::ownPing, this::handlePeerPing,
-				this::recordOrigin, incarnationRecords));
+				this::recordOrigin, incarnationRecords, this.memory));
 		this.destinations = new Destinations(this.peers, this.localBackend,
 				new Placement(settings.failureDomain(), settings.region(), random), incarnationRecords);
 		this.limits = new EntryLimits(settings.repeats(), random);
 		this.router = new EntryRouter(new EntryRequestReader(names, settings.service().value()), eventLoop,
-				this.destinations, this.limits, metrics, new DecisionLog(), this::receiveDelay);
+				this.destinations, this.limits, metrics, new DecisionLog(), this::receiveDelay, this.memory);
 		this.entryPublisher = new MemberEntryPublisher(this.store, eventLoop,
 				storeKeys.memberPrefix() + settings.nodeId());
 		this.configurationCatchUp = new ConfigurationCatchUp(this::isNewer, this::awaitWatch,
@@ -240,7 +238,7 @@
 		listen(this.settings.linkAddress(), new ChannelInitializer<Channel>() {
 			@Override
 			protected void initChannel(Channel channel) {
-				FrameCodec.addTo(channel.pipeline());
+				FrameCodec.addTo(channel.pipeline(), MeshNode.this.memory);
 				channel.pipeline()
 					.addLast(new ServerLink(MeshNode.this.localBackend, MeshNode.this.nodeCalls, MeshNode.this::ownPing,
 							MeshNode.this::handlePing, MeshNode.this.serverLinks, MeshNode.this::receiveDelay));
@@ -271,10 +269,12 @@
 	}
 
 	private void initializeEntryChannel(Channel channel) {
+		PacedWriteHandler writer = new PacedWriteHandler(this.memory, HeldMemory.Kind.UNREAD);
 		channel.pipeline()
-			.addLast(new HttpRequestDecoder(MAXIMUM_INITIAL_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES),
-					new HttpResponseEncoder(), new HttpObjectAggregator(MAXIMUM_BODY_BYTES),
-					new EntryConnection(this.router, () -> this.stopping, this.callerConnections));
+			.addLast(writer,
+					new HttpRequestDecoder(MAXIMUM_INITIAL_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES),
+					new EntryRequestCollector(MAXIMUM_BODY_BYTES, this.memory),
+					new EntryConnection(this.router, () -> this.stopping, this.callerConnections, this.memory, writer));
 	}
 
 	/**
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Peer.java
@@ -108,7 +108,7 @@
 				new ChannelInitializer<Channel>() {
 					@Override
 					protected void initChannel(Channel channel) {
-						FrameCodec.addTo(channel.pipeline());
+						FrameCodec.addTo(channel.pipeline(), Peer.this.environment.memory());
 						channel.pipeline().addLast(newLink);
 					}
 				});
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/PeerEnvironment.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/PeerEnvironment.java
@@ -17,9 +17,10 @@
  * @param pingListener receives the pings of other nodes
  * @param originListener receives the reported origins of calls
  * @param incarnationRecords what is known about the incarnations of servers
+ * @param memory account of the bytes that the node holds
  */
 record PeerEnvironment(EventLoop eventLoop, Supplier<MeshPing> ownPing, PingListener pingListener,
-		OriginListener originListener, IncarnationRecords incarnationRecords) {
+		OriginListener originListener, IncarnationRecords incarnationRecords, HeldMemory memory) {
 
 	PeerEnvironment {
 		Objects.requireNonNull(eventLoop, "eventLoop");
@@ -27,6 +28,7 @@
 		Objects.requireNonNull(pingListener, "pingListener");
 		Objects.requireNonNull(originListener, "originListener");
 		Objects.requireNonNull(incarnationRecords, "incarnationRecords");
+		Objects.requireNonNull(memory, "memory");
 	}
 
 	/**
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/FrameCodecTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/FrameCodecTests.java
@@ -21,7 +21,7 @@
 
 	private static EmbeddedChannel channel() {
 		EmbeddedChannel channel = new EmbeddedChannel();
-		FrameCodec.addTo(channel.pipeline());
+		FrameCodec.addTo(channel.pipeline(), new HeldMemory(Long.MAX_VALUE, Runnable::run));
 		return channel;
 	}
 
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/HeldMemoryTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/HeldMemoryTests.java
@@ -37,10 +37,11 @@
 
 	@Test
 	void nothingIsGivenUpWithinTheLimit() {
-		open("a", HeldMemory.Kind.UNBOUNDED, 10);
+		HeldMemory.Holding holding = open("a", HeldMemory.Kind.UNBOUNDED, 10);
 		assertThat(this.tasks).isEmpty();
-		assertThat(this.memory.fits(0)).isTrue();
-		assertThat(this.memory.fits(1)).isFalse();
+		assertThat(this.memory.full()).isTrue();
+		holding.resize(9L * UNIT);
+		assertThat(this.memory.full()).isFalse();
 	}
 
 	@Test
