Wait at a stop for responses that are still being written

Cause: a request counted as done once its response had been handed to its connection, so the process ended while most of it was unwritten.

Change: a stopping node also waits for unwritten bytes to callers and to other nodes, within the part of the grace period that it uses anyway.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryConnection.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryConnection.java
@@ -243,6 +243,14 @@
 		this.responseHolding.release();
 	}
 
+	/**
+	 * Returns whether the caller has yet to read responses.
+	 * @return whether a response is waiting to be written, or has been written in part
+	 */
+	boolean hasUnwrittenResponses() {
+		return !this.pending.isEmpty() || this.writer.unwrittenBytes() > 0;
+	}
+
 	/**
 	 * Closes the connection if it has been idle for longer than a timeout.
 	 * @param now current time in nanoseconds
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/FrameCodec.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/FrameCodec.java
@@ -34,6 +34,16 @@
 		pipeline.addLast(new PacedWriteHandler(memory, HeldMemory.Kind.FIXED), new Decoder(memory), new Encoder());
 	}
 
+	/**
+	 * Returns the number of bytes on a link that the operating system has yet to accept.
+	 * @param pipeline pipeline of the link
+	 * @return the number
+	 */
+	static long unwrittenBytes(ChannelPipeline pipeline) {
+		PacedWriteHandler writer = pipeline.get(PacedWriteHandler.class);
+		return (writer != null) ? writer.unwrittenBytes() : 0;
+	}
+
 	/**
 	 * Decodes a frame once all of its bytes have arrived. The bytes of an incomplete
 	 * frame are held in the heap.
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -510,7 +510,8 @@
 
 	/**
 	 * Stops gracefully: drains the local backend server and waits for requests in
-	 * progress, at most until the grace period is almost over.
+	 * progress and for responses that are being written, at most until the grace period
+	 * is almost over.
 	 */
 	public void close() {
 		logger.infof("event=node-stopping node=%s", this.settings.nodeId());
@@ -543,7 +544,9 @@
 	private boolean advanceStop() {
 		long elapsed = System.nanoTime() - this.stopStart;
 		long grace = this.settings.grace().toNanos();
-		boolean idle = this.router.activeRequests() == 0 && this.localBackend.activeCalls() == 0;
+		boolean idle = this.router.activeRequests() == 0 && this.localBackend.activeCalls() == 0
+				&& this.callerConnections.stream().noneMatch(EntryConnection::hasUnwrittenResponses)
+				&& this.serverLinks.stream().noneMatch(ServerLink::hasUnwrittenReplies);
 		boolean finished = idle && elapsed > MINIMUM_STOP_NANOSECONDS;
 		if (finished || elapsed > grace * REFUSAL_GRACE_SHARE) {
 			this.router.refuseNewRequests();
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ServerLink.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ServerLink.java
@@ -91,6 +91,14 @@
 		write(MeshFrame.newBuilder().setPing(this.ownPing.get()).build());
 	}
 
+	/**
+	 * Returns whether the other node has yet to read replies.
+	 * @return whether bytes are waiting to be written
+	 */
+	boolean hasUnwrittenReplies() {
+		return FrameCodec.unwrittenBytes(this.channel.pipeline()) > 0;
+	}
+
 	private void handleCall(MeshCall message) {
 		long stream = message.getStream();
 		long delay = this.receiveDelay.getAsLong();
