Count the idle timeout of a connection from the last byte that was read

Clients that read a long response for longer than the idle timeout lost the rest of it.

Cause: the idle time was counted from the moment at which the response was handed to the connection, not from the last byte that the operating system accepted.

Change: closeIfIdle looks at the written bytes. A connection whose caller reads is not idle; one whose caller has stopped reading is closed after the timeout, as before.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryConnection.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryConnection.java
@@ -76,7 +76,9 @@
 
 	private ChannelHandlerContext outboundContext;
 
-	private long lastResponseTime = System.nanoTime();
+	private long lastActivity = System.nanoTime();
+
+	private long lastWrittenBytes;
 
 	private boolean closeSent;
 
@@ -170,7 +172,7 @@
 			written = true;
 		}
 		if (written) {
-			this.lastResponseTime = System.nanoTime();
+			this.lastActivity = System.nanoTime();
 			if (!this.closeSent && this.pending.size() < MAXIMUM_PIPELINED) {
 				this.channel.config().setAutoRead(true);
 			}
@@ -252,12 +254,19 @@
 	}
 
 	/**
-	 * Closes the connection if it has been idle for longer than a timeout.
+	 * Closes the connection if no request is in progress, and the caller has neither read
+	 * nor sent anything for longer than a timeout.
 	 * @param now current time in nanoseconds
 	 * @param idleTimeout timeout in nanoseconds
 	 */
 	void closeIfIdle(long now, long idleTimeout) {
-		if (this.pending.isEmpty() && now - this.lastResponseTime > idleTimeout) {
+		long written = this.writer.writtenBytes();
+		if (written != this.lastWrittenBytes) {
+			this.lastWrittenBytes = written;
+			this.lastActivity = now;
+		}
+		boolean unread = this.writer.unwrittenBytes() > 0;
+		if ((this.pending.isEmpty() || unread) && now - this.lastActivity > idleTimeout) {
 			this.channel.close();
 		}
 	}
