--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendConnection.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendConnection.java
@@ -36,7 +36,7 @@
 
 	private final Consumer<BackendConnection> releaseListener;
 
-	private final BackendResponseDecoder decoder;
+	private final ClientResponseDecoder decoder;
 
 	private Channel channel;
 
@@ -60,7 +60,7 @@
 
 	private long serverIdleTimeout = -1;
 
-	BackendConnection(String requestIdHeader, BackendResponseDecoder decoder, HeldMemory memory,
+	BackendConnection(String requestIdHeader, ClientResponseDecoder decoder, HeldMemory memory,
 			Consumer<BackendConnection> releaseListener) {
 		this.requestIdHeader = Objects.requireNonNull(requestIdHeader, "requestIdHeader");
 		this.decoder = decoder;
@@ -172,7 +172,7 @@
 			return;
 		}
 		if (message instanceof HttpResponse response) {
-			if (BackendResponseDecoder.isJoined(response)) {
+			if (ClientResponseDecoder.isJoined(response)) {
 				fail("answer-not-http");
 				return;
 			}
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendPool.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendPool.java
@@ -86,7 +86,7 @@
 
 	private void connect(Listener listener) {
 		int connectionGeneration = this.generation;
-		BackendResponseDecoder decoder = new BackendResponseDecoder();
+		ClientResponseDecoder decoder = new ClientResponseDecoder();
 		BackendConnection connection = new BackendConnection(this.requestIdHeader, decoder, this.memory,
 				(idleConnection) -> release(idleConnection, connectionGeneration));
 		ChannelFuture future = Sockets.connect(this.eventLoop, this.address, CONNECT_TIMEOUT_MILLISECONDS,
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/BackendResponseDecoder.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ClientResponseDecoder.java
@@ -12,11 +12,12 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * Decodes the HTTP responses to requests. Closes the connection when data arrives while
- * no request is outstanding: the decoder would keep the beginning of a message and join
- * it with the next response. Responses to {@code HEAD} requests have no body.
+ * Decodes the HTTP responses on a connection that carries one request at a time. Closes
+ * the connection when data arrives while no request is outstanding: the decoder would
+ * keep the beginning of a message and join it with the next response. Responses to
+ * {@code HEAD} requests have no body.
  */
-final class BackendResponseDecoder extends HttpResponseDecoder {
+public final class ClientResponseDecoder extends HttpResponseDecoder {
 
 	/** Status line at the end of another line. */
 	private static final Pattern JOINED_STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}(?: .*)?$", Pattern.DOTALL);
@@ -29,7 +30,7 @@
 	 * Prepares for the response to a request.
 	 * @param requestMethod method of the request
 	 */
-	void expect(HttpMethod requestMethod) {
+	public void expect(HttpMethod requestMethod) {
 		this.method = requestMethod;
 		this.responseExpected = true;
 	}
@@ -38,7 +39,7 @@
 	 * Ends the response to the outstanding request.
 	 * @return whether no further bytes have been received
 	 */
-	boolean endResponse() {
+	public boolean endResponse() {
 		this.responseExpected = false;
 		return actualReadableBytes() == 0;
 	}
@@ -50,7 +51,7 @@
 	 * @param response decoded head
 	 * @return whether the head contains more than one status line
 	 */
-	static boolean isJoined(HttpResponse response) {
+	public static boolean isJoined(HttpResponse response) {
 		HttpVersion version = response.protocolVersion();
 		if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
 			return true;
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendConnectionTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendConnectionTests.java
@@ -29,7 +29,7 @@
 	/** Request that is sent as soon as the first one has its response. */
 	private String nextRequest;
 
-	private final BackendResponseDecoder decoder = new BackendResponseDecoder();
+	private final ClientResponseDecoder decoder = new ClientResponseDecoder();
 
 	private final HeldMemory memory = new HeldMemory(MEMORY_LIMIT, Runnable::run);
 
