Start waiting requests of a connection in one loop

A request that is refused at once ended while it was started, and started the next one from there, so that 64 pipelined requests nested 64 times. The requests are now started by the outermost loop. MeshNodeTests passes.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryConnection.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryConnection.java
@@ -84,6 +84,8 @@
 
 	private int running;
 
+	private boolean starting;
+
 	/**
 	 * Creates a handler for one connection.
 	 * @param handler handles requests
@@ -130,7 +132,7 @@
 			pipelined.respond(EntryResponse.withoutBody(failureStatus(request).code()));
 			return;
 		}
-		pipelined.wait(request);
+		pipelined.enqueue(request);
 		if (this.pending.size() >= MAXIMUM_PIPELINED) {
 			this.channel.config().setAutoRead(false);
 		}
@@ -143,8 +145,18 @@
 	}
 
 	private void startWaiting() {
-		while (!this.waiting.isEmpty() && !this.closeSent && mayStart()) {
-			this.waiting.pollFirst().start();
+		if (this.starting) {
+			// A request that was refused at once ends while it is started.
+			return;
+		}
+		this.starting = true;
+		try {
+			while (!this.waiting.isEmpty() && !this.closeSent && mayStart()) {
+				this.waiting.pollFirst().start();
+			}
+		}
+		finally {
+			this.starting = false;
 		}
 	}
 
@@ -316,7 +328,7 @@
 			this.headMethod = HttpMethod.HEAD.equals(request.method());
 		}
 
-		private void wait(FullHttpRequest value) {
+		private void enqueue(FullHttpRequest value) {
 			this.request = value.retain();
 			this.requestBytes = value.content().readableBytes();
 			EntryConnection.this.requestHolding.resize(EntryConnection.this.requestHolding.bytes() + this.requestBytes);
