Do not close a connection as idle while a request arrives

Clients that sent a request for longer than the idle timeout lost their connection.

Cause: the idle time was counted from the last response, and a request that has not arrived completely did not count as one in progress.

Change: bytes that arrive count as activity.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryConnection.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryConnection.java
@@ -283,6 +283,12 @@
 		}
 	}
 
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		this.lastActivity = System.nanoTime();
+		context.fireChannelReadComplete();
+	}
+
 	@Override
 	public void channelActive(ChannelHandlerContext context) {
 		this.openConnections.add(this);
