--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/HeldMemory.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/HeldMemory.java
@@ -11,15 +11,15 @@
 
 /**
  * Account of the bytes that a node holds for callers, servers and other nodes. When they
- * exceed a limit below the size of the heap, holders give up what they hold, one at a
- * time: first the largest response without an end in sight, then the largest of the
- * others. All methods must be called on the event loop.
+ * exceed a limit below the size of the heap, messages are discarded, one at a time: first
+ * the largest one of unknown length, then the largest of the next {@link Kind}. All
+ * methods must be called on the event loop.
  */
 final class HeldMemory {
 
 	private static final Logger logger = Logger.getLogger(HeldMemory.class);
 
-	/** Giving up smaller holdings would not help. */
+	/** Discarding smaller messages would not help. */
 	private static final long MINIMUM_RECLAIMED_BYTES = 16 * 1024;
 
 	/** Share of the limit above which new work that can wait should wait. */
@@ -38,13 +38,13 @@
 
 	private long peak;
 
-	private long givenUp;
+	private long discarded;
 
 	private boolean reclaiming;
 
 	/**
 	 * Creates an account.
-	 * @param limit number of bytes above which holders give up what they hold
+	 * @param limit number of bytes above which messages are discarded
 	 * @param executor runs a task on the event loop after the current one
 	 */
 	HeldMemory(long limit, Executor executor) {
@@ -55,11 +55,11 @@
 	/**
 	 * Opens a holding without bytes.
 	 * @param kind kind of the bytes
-	 * @param giveUp releases the bytes when the account is over its limit
+	 * @param discard discards the message when the account is over its limit
 	 * @return the holding
 	 */
-	Holding open(Kind kind, Runnable giveUp) {
-		return new Holding(kind, Objects.requireNonNull(giveUp, "giveUp"));
+	Holding open(Kind kind, Runnable discard) {
+		return new Holding(kind, Objects.requireNonNull(discard, "discard"));
 	}
 
 	/**
@@ -71,7 +71,7 @@
 	}
 
 	/**
-	 * Returns whether messages would have to be given up for further ones.
+	 * Returns whether further messages would soon be discarded.
 	 * @return whether almost the whole limit is used up
 	 */
 	boolean full() {
@@ -91,18 +91,18 @@
 	}
 
 	/**
-	 * Returns the number of holdings that were given up.
+	 * Returns the number of messages that were discarded.
 	 * @return the number
 	 */
-	long givenUp() {
-		return this.givenUp;
+	long discarded() {
+		return this.discarded;
 	}
 
 	private void change(long difference) {
 		this.held += difference;
 		this.peak = Math.max(this.peak, this.held);
 		if (this.held > this.limit && !this.reclaiming) {
-			// The holder that has just grown may be the one that gives up.
+			// The message that has just grown may be the one to discard.
 			this.reclaiming = true;
 			this.executor.execute(this::reclaim);
 		}
@@ -118,11 +118,11 @@
 					return;
 				}
 				Holding holding = largest.get();
-				logger.warnf("event=memory-given-up kind=%s bytes=%d held=%d limit=%d", holding.kind, holding.bytes,
+				logger.warnf("event=message-discarded kind=%s bytes=%d held=%d limit=%d", holding.kind, holding.bytes,
 						this.held, this.limit);
-				this.givenUp++;
+				this.discarded++;
 				holding.release();
-				holding.giveUp.run();
+				holding.discard.run();
 			}
 		}
 		finally {
@@ -131,11 +131,11 @@
 	}
 
 	/**
-	 * Kind of the held bytes. Later kinds are given up first.
+	 * Kind of the held bytes. Later kinds are discarded first.
 	 */
 	enum Kind {
 
-		/** Bytes that cannot be given up. */
+		/** Bytes that cannot be discarded. */
 		FIXED,
 
 		/** Response that a peer has yet to read. */
@@ -156,13 +156,13 @@
 
 		private Kind kind;
 
-		private final Runnable giveUp;
+		private final Runnable discard;
 
 		private long bytes;
 
-		private Holding(Kind kind, Runnable giveUp) {
+		private Holding(Kind kind, Runnable discard) {
 			this.kind = kind;
-			this.giveUp = giveUp;
+			this.discard = discard;
 		}
 
 		void kind(Kind value) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshMetrics.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshMetrics.java
@@ -67,9 +67,9 @@
 		.help("Largest number of bytes held at the same time")
 		.register(this.registry);
 
-	private final Gauge memoryGivenUp = Gauge.builder()
-		.name("wasabicart_memory_given_up")
-		.help("Messages given up since the node held too many bytes")
+	private final Gauge messagesDiscarded = Gauge.builder()
+		.name("wasabicart_messages_discarded")
+		.help("Messages discarded since the node held too many bytes")
 		.register(this.registry);
 
 	private final Map<String, Map<String, DistributionDataPoint>> dataPoints = new HashMap<>();
@@ -96,7 +96,7 @@
 	void recordHeldMemory(HeldMemory memory) {
 		this.heldBytes.set(memory.held());
 		this.heldBytesPeak.set(memory.peak());
-		this.memoryGivenUp.set(memory.givenUp());
+		this.messagesDiscarded.set(memory.discarded());
 	}
 
 	void recordConfigurationVersion(long version) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/PacedWriteHandler.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/PacedWriteHandler.java
@@ -40,7 +40,7 @@
 	/**
 	 * Creates a handler for one connection.
 	 * @param memory account of the held bytes
-	 * @param kind kind of the bytes that the peer has yet to read; they are given up by
+	 * @param kind kind of the bytes that the peer has yet to read; they are discarded by
 	 * closing the connection
 	 */
 	PacedWriteHandler(HeldMemory memory, HeldMemory.Kind kind) {
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/HeldMemoryTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/HeldMemoryTests.java
@@ -8,7 +8,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against a node that holds more than it has memory for, and against giving up
+ * Guards against a node that holds more than it has memory for, and against discarding
  * sound messages in place of an endless one.
  */
 class HeldMemoryTests {
@@ -21,10 +21,10 @@
 
 	private final HeldMemory memory = new HeldMemory(LIMIT, this.tasks::add);
 
-	private final List<String> givenUp = new ArrayList<>();
+	private final List<String> discarded = new ArrayList<>();
 
 	private HeldMemory.Holding open(String name, HeldMemory.Kind kind, int units) {
-		HeldMemory.Holding holding = this.memory.open(kind, () -> this.givenUp.add(name));
+		HeldMemory.Holding holding = this.memory.open(kind, () -> this.discarded.add(name));
 		holding.resize((long) units * UNIT);
 		return holding;
 	}
@@ -50,7 +50,7 @@
 		open("endless", HeldMemory.Kind.UNBOUNDED, 3);
 		open("unread", HeldMemory.Kind.UNREAD, 2);
 		runTasks();
-		assertThat(this.givenUp).containsExactly("endless");
+		assertThat(this.discarded).containsExactly("endless");
 		assertThat(this.memory.held()).isEqualTo(9L * UNIT);
 	}
 
@@ -61,27 +61,27 @@
 		open("c", HeldMemory.Kind.UNBOUNDED, 6);
 		open("d", HeldMemory.Kind.UNBOUNDED, 8);
 		runTasks();
-		assertThat(this.givenUp).containsExactly("d", "b");
-		assertThat(this.memory.givenUp()).isEqualTo(2);
+		assertThat(this.discarded).containsExactly("d", "b");
+		assertThat(this.memory.discarded()).isEqualTo(2);
 		assertThat(this.memory.peak()).isEqualTo(22L * UNIT);
 	}
 
 	@Test
-	void fixedAndSmallHoldingsAreNotGivenUp() {
+	void fixedAndSmallHoldingsAreNotDiscarded() {
 		open("fixed", HeldMemory.Kind.FIXED, 12);
-		HeldMemory.Holding small = this.memory.open(HeldMemory.Kind.UNREAD, () -> this.givenUp.add("small"));
+		HeldMemory.Holding small = this.memory.open(HeldMemory.Kind.UNREAD, () -> this.discarded.add("small"));
 		small.resize(1);
 		runTasks();
-		assertThat(this.givenUp).isEmpty();
+		assertThat(this.discarded).isEmpty();
 	}
 
 	@Test
-	void releasedHoldingIsNotGivenUp() {
+	void releasedHoldingIsNotDiscarded() {
 		HeldMemory.Holding released = open("released", HeldMemory.Kind.UNBOUNDED, 9);
 		open("other", HeldMemory.Kind.UNBOUNDED, 8);
 		released.release();
 		runTasks();
-		assertThat(this.givenUp).isEmpty();
+		assertThat(this.discarded).isEmpty();
 		assertThat(this.memory.underPressure()).isTrue();
 	}
 
