Refuse server ids and calls that would end a message head

Cause: BackendIncarnation checked only the length of an id. BackendMessages wrote it into Expected-Instance of each request with HeaderBlock.writeField, which wrote any characters, so the line break ended the head. Heartbeats, member entries and reports of other nodes all pass through BackendIncarnation.

HeadSyntax checks what is written into heads: writeField throws for a line break, a call cannot be created with a method, target, server or service that would end its line, and header lines that come over a link must be complete lines. A malformed call of another node is refused (MALFORMED, not run) and logged. EntryRequestDecoder rejects a target with control characters, which the HTTP codec accepts (400).

--- a/wasabicart-core/src/main/java/org/wasabicart/core/mesh/GateRefusal.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/mesh/GateRefusal.java
@@ -26,6 +26,9 @@
 	/** The server accepts no connection. */
 	UNREACHABLE,
 
+	/** The call cannot be written as a request. */
+	MALFORMED,
+
 	/** The server answered that it did not run the call. */
 	SHED,
 
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Call.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/Call.java
@@ -34,6 +34,10 @@
 		String route, Optional<RateLimit> knownRateLimit, Optional<WorkspaceName> workspace, OptionalLong targetEnd) {
 
 	Call {
+		HeadSyntax.requireWord("Method", method);
+		HeadSyntax.requireWord("Target", target);
+		HeadSyntax.requireLine("Expected incarnation", instance);
+		HeadSyntax.requireLine("Service of the caller", callerService);
 		Objects.requireNonNull(priority, "priority");
 		Objects.requireNonNull(knownRateLimit, "knownRateLimit");
 		Objects.requireNonNull(workspace, "workspace");
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallMessages.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/CallMessages.java
@@ -70,6 +70,14 @@
 				Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(time - now)));
 	}
 
+	/**
+	 * Converts a message to the call that it describes.
+	 * @param message message of another node
+	 * @param now current time in nanoseconds
+	 * @return the call
+	 * @throws IllegalArgumentException if a part of the message would end the head of the
+	 * request to the server, or the workspace has no valid name
+	 */
 	static Call toCall(MeshCall message, long now) {
 		return new Call(message.getRequestId(), message.getMethod(), message.getTarget(),
 				HeaderBlock.of(message.getHeaders()), message.getBody().toByteArray(),
@@ -193,8 +201,13 @@
 		if (!FinalStatus.isValid(reply.getStatus())) {
 			return new CallResult.Failed("answer-invalid-status status=" + reply.getStatus());
 		}
-		return new CallResult.Answered(reply.getStatus(), HeaderBlock.of(reply.getHeaders()),
-				reply.getBody().toByteArray());
+		try {
+			return new CallResult.Answered(reply.getStatus(), HeaderBlock.of(reply.getHeaders()),
+					reply.getBody().toByteArray());
+		}
+		catch (IllegalArgumentException ex) {
+			return new CallResult.Failed("answer-invalid-head reason=" + ex.getMessage());
+		}
 	}
 
 	private static GateRefusal refusal(String name) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRequestDecoder.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRequestDecoder.java
@@ -240,6 +240,9 @@
 		boolean headEnded = false;
 		boolean ended = false;
 		for (Object message : messages.subList(first, messages.size())) {
+			if (message instanceof HttpRequest request) {
+				checkRequestLine(request);
+			}
 			if (((HttpObject) message).decoderResult().isFailure()) {
 				this.state = State.REJECTED;
 				this.holding.release();
@@ -271,6 +274,17 @@
 		this.memory.reclaimFromCallers();
 	}
 
+	// The superclass accepts control characters in the target.
+	private static void checkRequestLine(HttpRequest request) {
+		try {
+			HeadSyntax.requireWord("Method", request.method().name());
+			HeadSyntax.requireWord("Target", request.uri());
+		}
+		catch (IllegalArgumentException ex) {
+			request.setDecoderResult(DecoderResult.failure(ex));
+		}
+	}
+
 	private void checkBounds(int incompleteLine) {
 		int headerBytes = this.limits.get().headerBytes();
 		long limit = (long) headerBytes + this.bounds.headRoomBytes();
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/HeaderBlock.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/HeaderBlock.java
@@ -16,9 +16,9 @@
 
 /**
  * End-to-end header fields of a message as in HTTP/1.1: one line each, terminated by CR
- * LF. The node that receives a message validates its fields. Later hops forward the lines
- * without parsing them, since decoding and encoding each field again at every hop takes a
- * large part of the CPU time of a call.
+ * LF. The node that receives a message validates its fields. Later hops only check that
+ * the lines do not end the head and forward them, since decoding and encoding each field
+ * again at every hop takes a large part of the CPU time of a call.
  */
 final class HeaderBlock {
 
@@ -79,8 +79,9 @@
 	/**
 	 * Returns a block with one header field.
 	 * @param name name
-	 * @param value value, without line breaks
+	 * @param value value
 	 * @return the header field
+	 * @throws IllegalArgumentException if the name or the value would end the line
 	 */
 	static HeaderBlock of(CharSequence name, CharSequence value) {
 		ByteBuf block = Unpooled.buffer(name.length() + value.length() + 4);
@@ -91,8 +92,9 @@
 	/**
 	 * Returns a copy of this block with one more header field.
 	 * @param name name
-	 * @param value value, without line breaks
+	 * @param value value
 	 * @return the header fields
+	 * @throws IllegalArgumentException if the name or the value would end the line
 	 */
 	HeaderBlock with(CharSequence name, CharSequence value) {
 		ByteBuf block = Unpooled.buffer(this.lines.length + name.length() + value.length() + 4);
@@ -102,12 +104,18 @@
 	}
 
 	/**
-	 * Returns a block of lines that another node has validated.
-	 * @param lines lines
+	 * Returns a block of lines that another node has sent.
+	 * @param lines lines, each with its line break
 	 * @return the header fields
+	 * @throws IllegalArgumentException if the lines are not complete header lines
 	 */
 	static HeaderBlock of(ByteString lines) {
-		return lines.isEmpty() ? EMPTY : new HeaderBlock(lines.toByteArray());
+		if (lines.isEmpty()) {
+			return EMPTY;
+		}
+		byte[] bytes = lines.toByteArray();
+		HeadSyntax.requireHeaderLines(bytes);
+		return new HeaderBlock(bytes);
 	}
 
 	ByteString toByteString() {
@@ -130,9 +138,12 @@
 	 * Writes one header field.
 	 * @param message message to append the field to
 	 * @param name name
-	 * @param value value, without line breaks
+	 * @param value value
+	 * @throws IllegalArgumentException if the name or the value would end the line
 	 */
 	static void writeField(ByteBuf message, CharSequence name, CharSequence value) {
+		HeadSyntax.requireLine("Name of a header field", name);
+		HeadSyntax.requireLine("Value of a header field", value);
 		ByteBufUtil.writeAscii(message, name);
 		message.writeShort(COLON_SPACE);
 		ByteBufUtil.writeAscii(message, value);
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ServerLink.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/ServerLink.java
@@ -131,7 +131,16 @@
 		long stream = message.getStream();
 		long delay = this.receiveDelay.getAsLong();
 		long now = System.nanoTime();
-		Call call = CallMessages.toCall(message, now - delay);
+		Call call;
+		try {
+			call = CallMessages.toCall(message, now - delay);
+		}
+		catch (IllegalArgumentException ex) {
+			logger.warnf("event=call-malformed peer=%s request=%s reason=\"%s\"", this.channel.remoteAddress(),
+					message.getRequestId(), LogReason.of(ex));
+			reply(message, new CallResult.Refused(GateRefusal.MALFORMED, false));
+			return;
+		}
 		if (NodeCalls.isNodeCall(call)) {
 			reply(message, this.nodeCalls.answer(call));
 			return;
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendConnectionTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/BackendConnectionTests.java
@@ -107,6 +107,21 @@
 		}
 	}
 
+	/**
+	 * Guards against parts of a line break that are passed on to callers as a part of a
+	 * line.
+	 */
+	@Test
+	void partOfALineBreakWithinALineFails() {
+		for (String line : List.of("A: b\rc", "A\rB: c", "A: b\u0000c")) {
+			BackendConnectionTests test = new BackendConnectionTests();
+			test.send("a");
+			test.receive("HTTP/1.1 200 OK\r\nId: a\r\n" + line + "\r\nContent-Length: 0\r\n\r\n");
+			assertThat(test.outcomes).containsExactly("answer-not-http");
+			assertThat(test.connection.usable()).isFalse();
+		}
+	}
+
 	@Test
 	void lateDuplicateResponseIsNotDeliveredForTheNextRequest() {
 		send("a");
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/EntryRequestDecoderTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/EntryRequestDecoderTests.java
@@ -288,6 +288,20 @@
 		assertThat(this.channel.inboundMessages()).isEmpty();
 	}
 
+	/**
+	 * Guards against parts of a line break that are passed on to servers as a part of a
+	 * line.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "GET /a\rb HTTP/1.1\r\n", "G\rET /a HTTP/1.1\r\n", "GET /a\u0000 HTTP/1.1\r\n",
+			"GET /a HTTP/1.1\r\nA: b\rc\r\n", "GET /a HTTP/1.1\r\nA\rB: c\r\n", "GET /a HTTP/1.1\r\nA: b\u0000c\r\n" })
+	void partOfALineBreakWithinALineIsRejected(String head) {
+		receive(head + "\r\n");
+		FullHttpRequest request = this.channel.readInbound();
+		assertThat(request.decoderResult().isFailure()).isTrue();
+		assertThat(this.channel.inboundMessages()).isEmpty();
+	}
+
 	/**
 	 * Guards against a bound on lines that refuses heads within a larger limit of the
 	 * configuration.
