Acknowledge only heartbeats that take effect

A server takes the answer for a promise to send it no more requests. A heartbeat with a service that the server on the VM does not run replaced the server.

HeartbeatOrder decides this without I/O and takes isNewer over from LocalBackend. A drain that is reported by a heartbeat which was overtaken by a later one of the same run now takes effect, since it is acknowledged.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/LocalBackend.java
@@ -18,6 +18,8 @@
 import org.wasabicart.core.mesh.CallOrigins;
 import org.wasabicart.core.mesh.GateEntry;
 import org.wasabicart.core.mesh.GateRefusal;
+import org.wasabicart.core.mesh.HeartbeatOrder;
+import org.wasabicart.core.mesh.HeartbeatOutcome;
 import org.wasabicart.core.mesh.IncarnationRecord;
 import org.wasabicart.core.mesh.IncarnationRecords;
 import org.wasabicart.core.mesh.MemberLoadReport;
@@ -73,6 +75,8 @@
 
 	private final CallOrigins origins = new CallOrigins();
 
+	private final HeartbeatOrder heartbeatOrder;
+
 	private final Set<PendingCall> running = new HashSet<>();
 
 	private BackendAnnouncement current;
@@ -101,6 +105,7 @@
 			IntSupplier knownServices, BackendTrafficLog trafficLog, IncarnationRecords incarnationRecords,
 			HeldMemory memory, CapacityTracker capacity, OverloadSignals signals) {
 		this.settings = Objects.requireNonNull(settings, "settings");
+		this.heartbeatOrder = new HeartbeatOrder(settings.service());
 		this.messages = new BackendMessages(headerNames);
 		this.changeListener = Objects.requireNonNull(changeListener, "changeListener");
 		this.knownServices = Objects.requireNonNull(knownServices, "knownServices");
@@ -114,15 +119,26 @@
 	}
 
 	/**
-	 * Processes a heartbeat. A heartbeat that is older than the current one is ignored.
+	 * Processes a heartbeat. Of one that was overtaken, only that the server is leaving
+	 * takes effect.
 	 * @param announcement heartbeat
+	 * @return how it compares with the heartbeats before it
 	 */
-	void handleHeartbeat(BackendAnnouncement announcement) {
-		if (this.current != null && !isNewer(announcement)) {
-			logger.debugf("event=announcement-late instance=%s sequence=%d", announcement.instance(),
-					announcement.sequence());
-			return;
+	HeartbeatOutcome handleHeartbeat(BackendAnnouncement announcement) {
+		HeartbeatOutcome outcome = this.heartbeatOrder.accept(announcement.service(), announcement.incarnation(),
+				announcement.sequence());
+		if (outcome == HeartbeatOutcome.CURRENT) {
+			handleCurrentHeartbeat(announcement);
+		}
+		else if (outcome == HeartbeatOutcome.OVERTAKEN && announcement.state() == ServerState.LEAVING
+				&& !this.incarnationRecord.leaving()) {
+			markLeaving();
+			this.changeListener.run();
 		}
+		return outcome;
+	}
+
+	private void handleCurrentHeartbeat(BackendAnnouncement announcement) {
 		MeshMember previous = member();
 		if (this.current == null || !this.current.incarnation().equals(announcement.incarnation())) {
 			startIncarnation(announcement);
@@ -145,14 +161,6 @@
 		return announcement.instance().equals(this.departedInstance) && announcement.born() <= this.departureTime;
 	}
 
-	private boolean isNewer(BackendAnnouncement announcement) {
-		if (announcement.born() != this.current.born()) {
-			return announcement.born() > this.current.born();
-		}
-		return !announcement.instance().equals(this.current.instance())
-				|| announcement.sequence() > this.current.sequence();
-	}
-
 	private void startIncarnation(BackendAnnouncement announcement) {
 		if (this.gate != null) {
 			this.gate.refuseWaiting(GateRefusal.WRONG_INSTANCE);
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -22,6 +22,7 @@
 import org.wasabicart.core.capacity.CompletionPlacement;
 import org.wasabicart.core.mesh.CallOrigin;
 import org.wasabicart.core.mesh.CallerLimits;
+import org.wasabicart.core.mesh.HeartbeatOutcome;
 import org.wasabicart.core.mesh.IncarnationRecords;
 import org.wasabicart.core.mesh.MeshConfiguration;
 import org.wasabicart.core.mesh.MeshMember;
@@ -331,9 +332,10 @@
 	/**
 	 * Processes a heartbeat of the local backend server.
 	 * @param announcement heartbeat
+	 * @return how it compares with the heartbeats before it
 	 */
-	public void handleHeartbeat(BackendAnnouncement announcement) {
-		this.localBackend.handleHeartbeat(announcement);
+	public HeartbeatOutcome handleHeartbeat(BackendAnnouncement announcement) {
+		return this.localBackend.handleHeartbeat(announcement);
 	}
 
 	/**
