Escape control characters in log lines

StandardOutputLog is the only writer of log lines of the mesh node, so the characters are escaped there, also in exceptions and names of loggers.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/StandardOutputLog.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/StandardOutputLog.java
@@ -33,7 +33,7 @@
 
 	private final PrintStream output;
 
-	private StandardOutputLog(PrintStream output) {
+	StandardOutputLog(PrintStream output) {
 		this.output = Objects.requireNonNull(output, "output");
 	}
 
@@ -63,7 +63,7 @@
 		String line = this.timestampFormatter.format(record.getMillis()) + " level=" + record.getLevel() + " logger="
 				+ simpleName(record.getLoggerName()) + " " + record.getMessage()
 				+ ((record.getThrown() != null) ? " exception=\"" + record.getThrown() + "\"" : "");
-		if (!this.lines.offer(line)) {
+		if (!this.lines.offer(ControlCharacters.escape(line))) {
 			this.droppedLines.incrementAndGet();
 		}
 	}
@@ -108,6 +108,55 @@
 		flush();
 	}
 
+	/**
+	 * Escapes characters that end a line or change how a terminal shows it. Messages may
+	 * contain values of other writers.
+	 */
+	static final class ControlCharacters {
+
+		private static final char LINE_SEPARATOR = '\u2028';
+
+		private static final char PARAGRAPH_SEPARATOR = '\u2029';
+
+		private ControlCharacters() {
+		}
+
+		static String escape(String text) {
+			for (int i = 0; i < text.length(); i++) {
+				if (isEscaped(text.charAt(i))) {
+					return escapeFrom(text, i);
+				}
+			}
+			return text;
+		}
+
+		private static String escapeFrom(String text, int first) {
+			StringBuilder escaped = new StringBuilder(2 * text.length()).append(text, 0, first);
+			for (int i = first; i < text.length(); i++) {
+				char character = text.charAt(i);
+				switch (character) {
+					case '\r' -> escaped.append("\\r");
+					case '\n' -> escaped.append("\\n");
+					case '\t' -> escaped.append("\\t");
+					default -> {
+						if (isEscaped(character)) {
+							escaped.append(String.format("\\u%04x", (int) character));
+						}
+						else {
+							escaped.append(character);
+						}
+					}
+				}
+			}
+			return escaped.toString();
+		}
+
+		private static boolean isEscaped(char character) {
+			return Character.isISOControl(character) || character == LINE_SEPARATOR || character == PARAGRAPH_SEPARATOR;
+		}
+
+	}
+
 	/**
 	 * Formats timestamps. Caches the text of the last second, since many lines of one
 	 * second follow each other.
