Let credit of a former coordinator be spent only once

Cause, shown in virtual time by AllotmentHandoverProperties: after a change of the coordinator a node could have as many unconfirmed requests as the former one had allowed, for 0.6 s. The next coordinator confirms each report within a round trip, and each confirmation made the credit free again, although that coordinator had opened none.

Change: what a node may still spend when a session ends, or when its coordinator lends no more, can be spent once, is charged by the next coordinator, and gives way to the credit that this one opens. To keep callers within the allotment from noticing a planned change: tokens of nodes that leave before the coordinator does are retained for the next one (they were cut with its share); a node that was handed tokens and does not coordinate passes them on, also when it stops at once; a stopping coordinator and a node that a follower leaves choose at the next tick; a notice also tells nodes that a closed credit is open again. A former coordinator that stops does not lend again because a node starts a session with it. In the model, notices of other nodes than the coordinator are ignored, as in FleetAllotments.

--- a/wasabicart-core/src/main/java/org/wasabicart/core/allotment/AllotmentClient.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/allotment/AllotmentClient.java
@@ -113,8 +113,8 @@
 	private boolean countedReported;
 
 	/**
-	 * End of the credit of the previous session. It stays valid as without a change of
-	 * the coordinator, since a new one opens credit only once enough nodes follow it.
+	 * End of the credit of earlier sessions. It stays valid as without a change of the
+	 * coordinator, since a new one opens credit only once enough nodes follow it.
 	 */
 	private long earlierCreditEnd;
 
@@ -213,12 +213,15 @@
 	}
 
 	/**
-	 * The coordinator of the session no longer counts this node, or lends no more. To be
-	 * called before the session ends.
+	 * The coordinator of the session no longer counts this node and lends no more. The
+	 * credit that it has opened may be used once until this node follows the next one.
+	 * @param now current time in nanoseconds
 	 */
-	private void release() {
+	private void release(long now) {
 		this.released = true;
 		this.acknowledged = 0;
+		this.earlierCreditEnd = now + AllotmentTimes.CREDIT_VALID;
+		this.states.values().forEach(State::closeCredit);
 	}
 
 	/**
@@ -251,7 +254,7 @@
 		if (state.takeToken(now)) {
 			return new AllotmentDecision(AllotmentDecision.Basis.TOKEN, this.session, 0);
 		}
-		if (creditValid(now) && state.takeCredit(now - this.earlierCreditEnd < 0)) {
+		if (creditValid(now) && state.takeCredit() || earlierCreditValid(now) && state.takeEarlierCredit()) {
 			return new AllotmentDecision(AllotmentDecision.Basis.CREDIT, this.session, 0);
 		}
 		boolean coordinated = this.answered && !state.unlisted;
@@ -282,6 +285,10 @@
 		return now - this.lastGrant < AllotmentTimes.CREDIT_VALID && this.acknowledged > 0 && this.firstAfterPause == 0;
 	}
 
+	private boolean earlierCreditValid(long now) {
+		return now - this.earlierCreditEnd < 0 && this.firstAfterPause == 0;
+	}
+
 	private long retryDelay(State state, long callerRemaining, long now) {
 		long expected = Math.max(SHORTEST_RETRY + ROUND_TRIP, state.roomAt - now);
 		long longest = callerRemaining / CALLER_WAIT_DIVISOR;
@@ -415,8 +422,9 @@
 			grant.tokens().forEach((tokens) -> {
 				State state = this.states.get(tokens.workspace());
 				if (state != null) {
-					state.credits = Math.min(state.credits, tokens.credits());
-					state.initialCredit = false;
+					// Before the first answer, credit of this session is not valid.
+					state.credits(
+							(this.acknowledged > 0) ? tokens.credits() : Math.min(state.credits, tokens.credits()));
 				}
 			});
 			return;
@@ -450,7 +458,7 @@
 		}
 		this.activeStates.forEach((state) -> state.confirmed(grant.sequence()));
 		if (grant.stopping()) {
-			release();
+			release(now);
 		}
 	}
 
@@ -460,8 +468,8 @@
 		if (!this.handedOver) {
 			this.handedOver = true;
 			this.handedOverSince = now;
+			release(now);
 		}
-		this.released = true;
 		this.answered = true;
 		this.lastGrant = Math.max(this.lastGrant, now);
 	}
@@ -494,7 +502,11 @@
 	 */
 	public int credit(WorkspaceName workspace, long now) {
 		State state = this.states.get(workspace);
-		return (state != null && creditValid(now)) ? Math.max(0, state.credits - state.unconfirmed()) : 0;
+		if (state == null) {
+			return 0;
+		}
+		int open = creditValid(now) ? Math.max(0, state.credits - state.unconfirmed()) : 0;
+		return open + (earlierCreditValid(now) ? state.earlierCredits : 0);
 	}
 
 	/** State of one workspace. */
@@ -519,7 +531,10 @@
 
 		private int credits;
 
-		/** Credits of the previous session. */
+		/**
+		 * Requests that may still run on the credit of earlier sessions. A confirmation
+		 * does not renew them: the coordinator that gives it has not opened this credit.
+		 */
 		private int earlierCredits;
 
 		/** Whether a new workspace may send a request before the coordinator knows it. */
@@ -604,8 +619,8 @@
 			return (int) (this.creditSpent - this.creditConfirmed);
 		}
 
-		boolean takeCredit(boolean earlierValid) {
-			if (unconfirmed() >= (earlierValid ? Math.max(this.credits, this.earlierCredits) : this.credits)) {
+		boolean takeCredit() {
+			if (unconfirmed() >= this.credits) {
 				return false;
 			}
 			this.creditSpent++;
@@ -613,6 +628,16 @@
 			return true;
 		}
 
+		boolean takeEarlierCredit() {
+			if (this.earlierCredits == 0) {
+				return false;
+			}
+			this.earlierCredits--;
+			this.creditSpent++;
+			this.spent++;
+			return true;
+		}
+
 		boolean takeInitialCredit(long now) {
 			if (!this.initialCredit || now - this.initialCreditEnd >= 0) {
 				return false;
@@ -657,6 +682,15 @@
 			this.held = 0;
 			this.earlier = 0;
 			this.fixedTokens = 0;
+			this.earlierCredits = 0;
+		}
+
+		/**
+		 * Leaves the credit that is not used to the time until the next one is opened.
+		 */
+		void closeCredit() {
+			this.earlierCredits = Math.max(this.earlierCredits, this.credits - unconfirmed());
+			this.credits = 0;
 		}
 
 		void sessionEnded(long now) {
@@ -664,11 +698,10 @@
 			this.earlier += this.held;
 			this.earlierExpiry = this.expiry;
 			this.held = 0;
+			closeCredit();
 			this.spent = unconfirmed();
 			this.creditSpent = this.spent;
-			this.earlierCredits = this.credits;
 			this.initialCredit = false;
-			this.credits = 0;
 			this.creditConfirmed = 0;
 			this.spentConfirmed = 0;
 			this.first = null;
@@ -736,9 +769,15 @@
 			return new AllotmentDemand(this.workspace, wanted, this.held, this.spent);
 		}
 
-		void granted(AllotmentTokens tokens, long grantSequence, long newExpiry, long now) {
-			this.credits = tokens.credits();
+		// Credit that the coordinator opens takes the place of as much earlier credit.
+		void credits(int opened) {
+			this.earlierCredits = Math.max(0, this.earlierCredits - Math.max(0, opened - this.credits));
+			this.credits = opened;
 			this.initialCredit = false;
+		}
+
+		void granted(AllotmentTokens tokens, long grantSequence, long newExpiry, long now) {
+			credits(tokens.credits());
 			this.unlisted = false;
 			this.lastListedAnswer = grantSequence;
 			if (tokens.waitNanoseconds() > 0) {
--- a/wasabicart-core/src/main/java/org/wasabicart/core/allotment/AllotmentCoordinator.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/allotment/AllotmentCoordinator.java
@@ -232,7 +232,7 @@
 			if (reporter.starting(report)) {
 				this.buckets.values().forEach((bucket) -> bucket.addStartCredit(1.0 / this.members));
 			}
-			this.handedOver = this.handedOver && report.leaving();
+			this.handedOver = this.handedOver && (this.stopping || report.leaving());
 			for (Bucket bucket : this.buckets.values()) {
 				if (now - bucket.initialCreditEnd < 0) {
 					reporter.tell(bucket, INITIAL_CREDITS, 0);
@@ -263,10 +263,10 @@
 	}
 
 	/**
-	 * Takes the tokens that are left out of the buckets, since another node coordinates
-	 * from now on. Nodes that still report to this one get an empty answer that says that
-	 * this one lends no more, so that they use the credit that they have until they
-	 * follow the other node.
+	 * Takes the tokens that are left out of the buckets, and those of an earlier
+	 * coordinator that were not lent, since another node coordinates from now on. Nodes
+	 * that still report to this one get an empty answer that says that this one lends no
+	 * more, so that they use the credit that they have until they follow the other node.
 	 * @return tokens by workspace, to be sent to the other node
 	 */
 	public List<AllotmentTokens> handOver() {
@@ -274,11 +274,13 @@
 		this.sharing = false;
 		List<AllotmentTokens> tokens = new ArrayList<>();
 		for (Bucket bucket : this.buckets.values()) {
-			int left = (int) Math.max(0, bucket.left());
+			double left = Math.max(0, bucket.left());
 			bucket.level -= left;
+			int handed = (int) Math.min(bucket.capacity(), left + bucket.retained + bucket.handed);
 			bucket.handed = 0;
-			if (left > 0 && tokens.size() < AllotmentReport.MAXIMUM_DEMANDS) {
-				tokens.add(new AllotmentTokens(bucket.name, left, 0, 0));
+			bucket.retained = 0;
+			if (handed > 0 && tokens.size() < AllotmentReport.MAXIMUM_DEMANDS) {
+				tokens.add(new AllotmentTokens(bucket.name, handed, 0, 0));
 			}
 		}
 		return tokens;
@@ -288,7 +290,7 @@
 		for (AllotmentTokens tokens : report.handover()) {
 			Bucket bucket = this.buckets.get(tokens.workspace());
 			if (bucket != null) {
-				bucket.handed = Math.min(tokens.tokens(), bucket.capacity());
+				bucket.handed = Math.min(bucket.handed + tokens.tokens(), bucket.capacity());
 				bucket.handedUntil = now + AllotmentTimes.HANDOVER;
 				bucket.takeHanded(this.share, now);
 			}
@@ -354,8 +356,9 @@
 	}
 
 	/**
-	 * Returns notices to the nodes whose credit has become too large. To be called soon
-	 * after reports, since nodes admit requests on credit until they get the notice.
+	 * Returns notices to the nodes whose credit has become too large, or was closed and
+	 * is open again. To be called soon after reports, since nodes admit requests on
+	 * credit until they get the notice, and refuse them while it is closed.
 	 * @param now current time in nanoseconds
 	 * @return notices by node
 	 */
@@ -364,21 +367,23 @@
 			return Map.of();
 		}
 		refill(now);
-		List<Bucket> reduced = new ArrayList<>();
+		List<Bucket> changed = new ArrayList<>();
 		for (Bucket bucket : this.buckets.values()) {
-			if (bucket.credits(this.members) < bucket.highestTold && reduced.size() < AllotmentReport.MAXIMUM_DEMANDS) {
-				reduced.add(bucket);
+			boolean reduced = bucket.credits(this.members) < bucket.highestTold;
+			if ((bucket.takeReopened() || reduced) && changed.size() < AllotmentReport.MAXIMUM_DEMANDS) {
+				changed.add(bucket);
 			}
 		}
-		if (reduced.isEmpty()) {
+		if (changed.isEmpty()) {
 			return Map.of();
 		}
 		Map<K, AllotmentGrant> notices = new HashMap<>();
 		this.reporters.forEach((node, reporter) -> {
 			List<AllotmentTokens> tokens = new ArrayList<>();
-			for (Bucket bucket : reduced) {
+			for (Bucket bucket : changed) {
 				int credits = bucket.credits(this.members);
-				if (credits < reporter.told(bucket.index)) {
+				int told = reporter.told(bucket.index);
+				if (credits < told || told == 0 && bucket.calm) {
 					reporter.tell(bucket, credits, 0);
 					tokens.add(new AllotmentTokens(bucket.name, 0, credits, 0));
 				}
@@ -387,7 +392,7 @@
 				notices.put(node, new AllotmentGrant(0, this.stopping, tokens));
 			}
 		});
-		reduced.forEach((bucket) -> bucket.highestTold = bucket.credits(this.members));
+		changed.forEach((bucket) -> bucket.highestTold = bucket.credits(this.members));
 		return notices;
 	}
 
@@ -447,13 +452,14 @@
 
 	private void updateShare(long now) {
 		long counted = this.reporters.values().stream().filter((reporter) -> reporter.countedAt(now)).count();
+		double previousShare = this.share;
 		this.share = Math.min(1, (double) counted / this.members);
 		if (this.share > 0 && !this.sharing) {
 			this.sharingSince = now;
 		}
 		this.sharing = this.share > 0;
 		for (Bucket bucket : this.buckets.values()) {
-			bucket.level = Math.min(bucket.level, this.share * bucket.capacity());
+			bucket.limitLevel(previousShare, this.share, now);
 			bucket.takeHanded(this.share, now);
 		}
 	}
@@ -499,6 +505,14 @@
 
 		private long handedUntil;
 
+		/**
+		 * Tokens of nodes that no longer follow this coordinator. They are not lent here,
+		 * only handed over.
+		 */
+		private double retained;
+
+		private long retainedUntil;
+
 		private long initialCreditEnd;
 
 		/**
@@ -509,6 +523,9 @@
 
 		private boolean calm;
 
+		/** Whether nodes may not know that the bucket has become calm. */
+		private boolean reopened;
+
 		Bucket(int index, WorkspaceName name) {
 			this.index = index;
 			this.name = name;
@@ -529,6 +546,20 @@
 			}
 		}
 
+		// Nodes may leave for the next coordinator before this one hands over to it.
+		void limitLevel(double previousShare, double share, long now) {
+			this.level = Math.min(this.level, previousShare * capacity());
+			double excess = this.level - share * capacity();
+			if (excess > 0) {
+				this.retained = Math.min(capacity(), this.retained + excess);
+				this.retainedUntil = now + AllotmentTimes.HANDOVER;
+				this.level -= excess;
+			}
+			else if (now - this.retainedUntil >= 0) {
+				this.retained = 0;
+			}
+		}
+
 		void addStartCredit(double startedShare) {
 			double longest = START_CREDIT_REQUESTS + START_CREDIT_SECONDS * this.allotment.requestsPerSecond();
 			this.startCredit = Math.min(longest, this.startCredit + startedShare * longest);
@@ -541,13 +572,18 @@
 		// The lower limit keeps a malformed report from closing the workspace for long.
 		void charge(long tokens, double share, int members) {
 			double lowest = -capacity() - AllotmentTokens.MAXIMUM_CREDITS * (double) members;
-			this.level = Math.max(lowest, Math.min(this.level - tokens, share * capacity()));
+			// Nodes that leave report what they have spent after their share was
+			// retained.
+			double covered = Math.max(0, Math.min(this.retained, tokens));
+			this.retained -= covered;
+			this.level = Math.max(lowest, Math.min(this.level - tokens + covered, share * capacity()));
 		}
 
 		int credits(int members) {
 			double rate = this.allotment.requestsPerSecond();
 			double reopening = this.calm ? 0 : 1 + REOPENING_SECONDS * rate;
 			this.calm = this.level >= reopening + Math.min(LARGEST_CALM_SHARE * capacity(), 1 + CALM_SECONDS * rate);
+			this.reopened = this.calm && (this.reopened || reopening > 0);
 			if (this.calm) {
 				this.startCredit = 0;
 			}
@@ -563,6 +599,12 @@
 					: Math.max(Math.max(least, startCredits(left, members)), credits);
 		}
 
+		boolean takeReopened() {
+			boolean taken = this.reopened;
+			this.reopened = false;
+			return taken;
+		}
+
 		private int startCredits(double left, int members) {
 			double covered = left + this.startCredit;
 			if (this.startCredit <= 0 || covered <= 0) {
--- a/wasabicart-core/src/test/java/org/wasabicart/core/allotment/AllotmentFleet.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/allotment/AllotmentFleet.java
@@ -61,6 +61,9 @@
 	/** Failure domains below this number cannot reach the others. */
 	private int cutDomains;
 
+	/** Whether each node chooses its coordinator at other times than the others. */
+	private boolean staggered;
+
 	AllotmentFleet(int size, long seed) {
 		this.random = new SplittableRandom(seed);
 		for (int i = 0; i < size; i++) {
@@ -71,6 +74,10 @@
 		this.nodes.forEach((node) -> at(this.random.nextDouble(TICK_SECONDS), node::tick));
 	}
 
+	void staggerChoices() {
+		this.staggered = true;
+	}
+
 	void messageFaults(double share) {
 		this.faultShare = share;
 	}
@@ -170,6 +177,53 @@
 		at(when, () -> this.nodes.get(node).restart());
 	}
 
+	/**
+	 * Stops a node as planned and starts it again.
+	 * @param node node
+	 * @param when start of the stop in seconds
+	 * @param stopping time in seconds for which it answers and lends no more
+	 * @param down time in seconds until it starts again
+	 */
+	void plannedRestart(int node, double when, double stopping, double down) {
+		at(when, () -> this.nodes.get(node).stop(stopping, down));
+	}
+
+	/**
+	 * Stops the node that coordinates at that time as planned and starts it again.
+	 * @param when start of the stop in seconds
+	 * @param stopping time in seconds for which it answers and lends no more
+	 * @param down time in seconds until it starts again
+	 */
+	void plannedRestartOfCoordinator(double when, double stopping, double down) {
+		at(when, () -> currentCoordinator().ifPresent((node) -> node.stop(stopping, down)));
+	}
+
+	/**
+	 * Kills the node that coordinates at that time and starts it again.
+	 * @param when time in seconds
+	 * @param down time in seconds until it starts again
+	 */
+	void killCoordinator(double when, double down) {
+		at(when, () -> currentCoordinator().ifPresent((node) -> node.kill(down)));
+	}
+
+	/**
+	 * Kills all nodes and starts them again. None is listed by the others at first.
+	 * @param when time in seconds
+	 * @param down time in seconds until they start again
+	 * @param unlisted time in seconds from their start until all are listed
+	 */
+	void killAll(double when, double down, double unlisted) {
+		at(when, () -> this.nodes.forEach((node) -> {
+			node.kill(down);
+			node.listedFrom = when + down + unlisted;
+		}));
+	}
+
+	private Optional<Node> currentCoordinator() {
+		return this.byWeight.stream().filter(Node::usable).findFirst();
+	}
+
 	void clockJump(int node, double when) {
 		at(when, () -> this.nodes.get(node).pauseNoticed());
 	}
@@ -260,6 +314,16 @@
 
 		private double frozenUntil = -1;
 
+		private boolean stopping;
+
+		private boolean down;
+
+		/** Whether the coordinator is chosen in the next tick. */
+		private boolean choosing;
+
+		/** Time from which this node knows the others. */
+		private double listedFrom;
+
 		Node(int index) {
 			this.index = index;
 			this.id = new NodeId("n" + index);
@@ -300,6 +364,44 @@
 			start();
 		}
 
+		private boolean usable() {
+			return !this.stopping && !this.down && !frozen();
+		}
+
+		void stop(double seconds, double downSeconds) {
+			if (!usable()) {
+				return;
+			}
+			this.stopping = true;
+			this.choosing = true;
+			this.coordinator.stop();
+			at(AllotmentFleet.this.time + seconds, () -> end(downSeconds));
+		}
+
+		void kill(double downSeconds) {
+			if (!this.down) {
+				end(downSeconds);
+			}
+		}
+
+		private void end(double downSeconds) {
+			if (this.down) {
+				return;
+			}
+			Link link = new Link(this.index, this.incarnation);
+			this.down = true;
+			this.incarnation++;
+			this.waiting.clear();
+			AllotmentFleet.this.nodes.stream()
+				.filter((node) -> node != this && !node.down)
+				.forEach((node) -> node.coordinator.disconnected(link));
+			at(AllotmentFleet.this.time + downSeconds, () -> {
+				this.down = false;
+				this.stopping = false;
+				restart();
+			});
+		}
+
 		void freeze(double seconds) {
 			this.frozenUntil = AllotmentFleet.this.time + seconds;
 			at(this.frozenUntil, () -> {
@@ -336,8 +438,8 @@
 		// answer.
 		private int chosenCoordinator() {
 			for (Node node : AllotmentFleet.this.byWeight) {
-				if (node == this
-						|| (connected(this, node) || AllotmentFleet.this.time < this.cutNoticed) && !node.frozen()) {
+				if (node == this && !this.stopping || node != this && listed() && !node.stopping && !node.down
+						&& (connected(this, node) || AllotmentFleet.this.time < this.cutNoticed) && !node.frozen()) {
 					return node.index;
 				}
 			}
@@ -346,7 +448,7 @@
 
 		void tick() {
 			double next = TICK_SECONDS;
-			if (!frozen()) {
+			if (!frozen() && !this.down) {
 				boolean cut = AllotmentFleet.this.cutDomains > 0;
 				if (cut != this.sideCut) {
 					this.sideCut = cut;
@@ -355,8 +457,9 @@
 									+ AllotmentFleet.this.random.nextDouble(0.1, REACHABILITY_DELAY_SECONDS)
 							: Double.MAX_VALUE;
 				}
-				this.client.members(AllotmentFleet.this.nodes.size());
-				this.coordinator.members(AllotmentFleet.this.nodes.size());
+				int members = listed() ? AllotmentFleet.this.nodes.size() : 1;
+				this.client.members(members);
+				this.coordinator.members(members);
 				follow();
 				reportIfDue();
 				sendNotices();
@@ -364,21 +467,24 @@
 			at(AllotmentFleet.this.time + next, this::tick);
 		}
 
+		private boolean listed() {
+			return AllotmentFleet.this.time >= this.listedFrom;
+		}
+
 		private void follow() {
-			if (AllotmentFleet.this.time % 0.1 > TICK_SECONDS && this.followed >= 0
+			double phase = AllotmentFleet.this.staggered ? this.index * 0.037 : 0;
+			if (!this.choosing && (AllotmentFleet.this.time + phase) % 0.1 > TICK_SECONDS && this.followed >= 0
 					&& AllotmentFleet.this.nodes.get(this.followed).incarnation == this.followedIncarnation) {
 				return;
 			}
+			this.choosing = false;
 			int chosen = chosenCoordinator();
 			int chosenIncarnation = AllotmentFleet.this.nodes.get(chosen).incarnation;
 			if (chosen != this.followed || chosenIncarnation != this.followedIncarnation) {
 				if (this.followed >= 0) {
 					report(AllotmentFleet.this.nodes.get(this.followed), this.client.lastReport(now()));
 				}
-				if (chosen != this.index) {
-					this.coordinator.discardHandedOver();
-				}
-				this.handover = (this.followed == this.index) ? this.coordinator.handOver() : List.of();
+				this.handover = (chosen != this.index) ? this.coordinator.handOver() : List.of();
 				this.followed = chosen;
 				this.followedIncarnation = chosenIncarnation;
 				this.client.startSession(now());
@@ -396,8 +502,12 @@
 		private void report(Node to, AllotmentReport report) {
 			Link link = new Link(this.index, this.incarnation);
 			send(this, to, () -> {
+				to.choosing |= report.leaving();
 				Optional<AllotmentGrant> grant = to.coordinator.report(link, report, to.now());
-				grant.ifPresent((content) -> send(to, this, () -> this.client.granted(content, now())));
+				grant.ifPresent((content) -> send(to, this, () -> {
+					this.choosing |= content.stopping() && to.index == this.followed;
+					this.client.granted(content, now());
+				}));
 			});
 		}
 
@@ -405,14 +515,21 @@
 			this.coordinator.notices(now()).forEach((link, notice) -> {
 				Node node = AllotmentFleet.this.nodes.get(link.node());
 				if (node.incarnation == link.incarnation()) {
-					send(this, node, () -> node.client.granted(notice, node.now()));
+					send(this, node, () -> node.noticed(this.index, notice));
 				}
 			});
 		}
 
+		// As FleetAllotments, which ignores notices of other nodes than its coordinator.
+		private void noticed(int from, AllotmentGrant notice) {
+			if (from == this.followed) {
+				this.client.granted(notice, now());
+			}
+		}
+
 		void request(WorkspaceName workspace) {
 			// The key of an unknown workspace is not valid.
-			if (frozen() || !this.known.contains(workspace)) {
+			if (frozen() || this.down || !this.known.contains(workspace)) {
 				return;
 			}
 			Usage usage = AllotmentFleet.this.usages.get(workspace);
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/allotment/FleetAllotments.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/allotment/FleetAllotments.java
@@ -232,10 +232,7 @@
 		this.followed = link;
 		this.followedConnection = (link != null) ? link.connection() : null;
 		this.unanswered = false;
-		this.handover = (wasCoordinator && link != null) ? this.coordinator.handOver() : List.of();
-		if (link != null) {
-			this.coordinator.discardHandedOver();
-		}
+		this.handover = (link != null) ? this.coordinator.handOver() : List.of();
 		this.client.startSession(now);
 		if (wasCoordinator) {
 			this.coordinator.report(this, lastReport, now).ifPresent((grant) -> this.client.granted(grant, now));
@@ -315,6 +312,7 @@
 		}
 		if (link == this.followed) {
 			this.unanswered = false;
+			this.chosen &= !grant.get().stopping();
 		}
 		else if (grant.get().notice()) {
 			return;
@@ -329,6 +327,8 @@
 			logger.debugf("event=allotment-report-unreadable");
 			return;
 		}
+		// A node that leaves may know a coordinator that this node has to hand over to.
+		this.chosen &= !report.get().leaving();
 		this.senders.putIfAbsent(connection, sender);
 		this.coordinator.report(connection, report.get(), this.clock.getAsLong())
 			.ifPresent((grant) -> sender.accept(AllotmentMessages.toMessage(grant)));
@@ -357,6 +357,8 @@
 	public void stop() {
 		this.stopping = true;
 		this.coordinator.stop();
+		// The next coordinator needs the tokens before the nodes that report to it.
+		this.chosen = false;
 	}
 
 	/** Another node of the fleet. */
