Divide allotments by the recorded size of the fleet

Cause: a node counted the nodes that it had listed. Before its first list, and while entries of others are missing, that is only itself, so each node lent the whole allotment and the whole start credit; the log of a restarted coordinator shows members=1. What was lent so was charged to no other coordinator.

Change: the coordinator records the number of nodes in the store without a lease, beside the nodes' entries, so that the first list contains it. For 30 s after its start a node divides by that number if it knows fewer nodes. FleetSize decides this without I/O. A node that has read no list, or no record within 3 s, does not lend and answers like a coordinator that has handed over; it admits three requests on credit.

--- a/wasabicart-core/src/test/java/org/wasabicart/core/allotment/AllotmentFleet.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/allotment/AllotmentFleet.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -64,7 +65,10 @@
 	/** Whether each node chooses its coordinator at other times than the others. */
 	private boolean staggered;
 
+	private final int recordedSize;
+
 	AllotmentFleet(int size, long seed) {
+		this.recordedSize = size;
 		this.random = new SplittableRandom(seed);
 		for (int i = 0; i < size; i++) {
 			this.nodes.add(new Node(i));
@@ -294,6 +298,8 @@
 
 		private int incarnation;
 
+		private FleetSize fleetSize;
+
 		private AllotmentClient client;
 
 		private AllotmentCoordinator<Link> coordinator;
@@ -342,6 +348,8 @@
 		private void start() {
 			this.client = new AllotmentClient(AllotmentFleet.this.random, now());
 			this.coordinator = new AllotmentCoordinator<>();
+			this.fleetSize = new FleetSize();
+			this.fleetSize.listed(OptionalInt.of(AllotmentFleet.this.recordedSize), now());
 			this.followed = -1;
 			// A node that has started knows no configuration until it is applied.
 			if (!AllotmentFleet.this.allotments.isEmpty()) {
@@ -457,7 +465,7 @@
 									+ AllotmentFleet.this.random.nextDouble(0.1, REACHABILITY_DELAY_SECONDS)
 							: Double.MAX_VALUE;
 				}
-				int members = listed() ? AllotmentFleet.this.nodes.size() : 1;
+				int members = this.fleetSize.divisor(listed() ? AllotmentFleet.this.nodes.size() : 1, now());
 				this.client.members(members);
 				this.coordinator.members(members);
 				follow();
--- a/wasabicart-core/src/test/java/org/wasabicart/core/allotment/AllotmentHandoverProperties.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/allotment/AllotmentHandoverProperties.java
@@ -115,6 +115,20 @@
 		rollingRestart(12, seed);
 	}
 
+	private static void unlistedStart(int size, long seed) {
+		AllotmentFleet fleet = surgingFleet(size, seed);
+		SplittableRandom random = new SplittableRandom(seed);
+		fleet.killAll(random.nextDouble(6, 9), random.nextDouble(0.7, 3), random.nextDouble(0.3, 3));
+		assertBound(fleet, size, seed);
+	}
+
+	// Guards against nodes that start together, list no others, and each lend the whole
+	// allotment.
+	@Property(tries = 10)
+	void boundHoldsWhenNodesDoNotListEachOtherAt12Nodes(@ForAll @LongRange(min = 0, max = 9999) long seed) {
+		unlistedStart(12, seed);
+	}
+
 	// Guards against callers within the allotment that are refused since the coordinator
 	// changes.
 	@Property(tries = 10)
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshNode.java
@@ -32,6 +32,7 @@
 import org.wasabicart.core.model.NodeId;
 import org.wasabicart.core.overload.OverloadSignals;
 import org.wasabicart.mesh.allotment.FleetAllotments;
+import org.wasabicart.mesh.allotment.FleetSizeRecord;
 import org.wasabicart.mesh.capacity.CapacityTracker;
 import org.wasabicart.mesh.capacity.ServerCapacityMode;
 import org.wasabicart.mesh.workspace.WorkspaceAccess;
@@ -142,6 +143,8 @@
 
 	private final AllotmentTask allotmentTask;
 
+	private final FleetSizeRecord fleetSizeRecord;
+
 	private final EntryLimits limits;
 
 	private final EntryRouter router;
@@ -236,6 +239,8 @@
 				this.limits, this.earlyRepeats, metrics, decisions, this::receiveDelay, this.memory, capacity,
 				this.allotments);
 		this.allotmentTask = new AllotmentTask(this.allotments, eventLoop, metrics);
+		this.fleetSizeRecord = new FleetSizeRecord(this.store, storeKeys.memberPrefix(), this.allotments,
+				System::nanoTime);
 		this.entryPublisher = new MemberEntryPublisher(this.store, eventLoop,
 				storeKeys.memberPrefix() + settings.nodeId());
 		this.configurationCatchUp = new ConfigurationCatchUp(this::isNewer, this::awaitWatch,
@@ -486,6 +491,9 @@
 		List<MeshMember> members = new ArrayList<>();
 		boolean ownEntryFound = false;
 		for (MeshStore.StoredItem item : items.items()) {
+			if (this.fleetSizeRecord.is(item)) {
+				continue;
+			}
 			Optional<MeshMember> member = this.entryReader.read(item);
 			member.ifPresent(members::add);
 			if (member.isPresent() && isOwnEntry(item)) {
@@ -495,6 +503,7 @@
 			}
 		}
 		this.peers.updateMembers(members);
+		this.fleetSizeRecord.listed(items);
 		if (!this.membersListed) {
 			this.membersListed = true;
 			publishLocalServer();
@@ -509,7 +518,11 @@
 	}
 
 	private void applyMemberChanges(MeshStore.StoredItems items) {
+		this.fleetSizeRecord.changed(items);
 		for (MeshStore.StoredItem item : items.items()) {
+			if (this.fleetSizeRecord.is(item)) {
+				continue;
+			}
 			if (item.value() == null) {
 				removeMember(this.entryReader.nodeName(item));
 				continue;
@@ -549,6 +562,7 @@
 	private void tick() {
 		long now = System.nanoTime();
 		this.localBackend.tick(now);
+		this.fleetSizeRecord.tick();
 		// Right after a pause, replies and store entries that arrived meanwhile may not
 		// have been read yet, so no link is silent, no request slow and no entry missing.
 		if (receiveDelay() == 0) {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshStore.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/MeshStore.java
@@ -38,7 +38,7 @@
 	 * @param key key
 	 * @param expected expected position of the item
 	 * @param value new value, or null to delete the key
-	 * @param lease lease whose end deletes the key
+	 * @param lease lease whose end deletes the key, or {@link StoreLease#none(StoreEra)}
 	 * @return the position of the change
 	 */
 	CompletableFuture<StorePosition> write(String key, StorePosition expected, byte[] value, StoreLease lease);
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/StoreLease.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/StoreLease.java
@@ -15,4 +15,13 @@
 		Objects.requireNonNull(era, "era");
 	}
 
+	/**
+	 * Returns the lease of items that do not end with a lease.
+	 * @param era era of the store
+	 * @return the lease
+	 */
+	public static StoreLease none(StoreEra era) {
+		return new StoreLease(era, 0);
+	}
+
 }
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/allotment/FleetAllotments.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/allotment/FleetAllotments.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -23,6 +24,7 @@
 import org.wasabicart.core.allotment.AllotmentReport;
 import org.wasabicart.core.allotment.AllotmentTokens;
 import org.wasabicart.core.allotment.CoordinatorChoice;
+import org.wasabicart.core.allotment.FleetSize;
 import org.wasabicart.core.model.NodeId;
 import org.wasabicart.core.workspace.WorkspaceName;
 import org.wasabicart.wire.generated.mesh.MeshAllotmentGrant;
@@ -58,6 +60,9 @@
 	 */
 	private static final long LAPSED_NODE_TIME = TimeUnit.SECONDS.toNanos(30);
 
+	/** Least share of the fleet that follows a node which records the size. */
+	private static final double RECORDING_SHARE = 0.5;
+
 	private final NodeId self;
 
 	private final Supplier<? extends Collection<? extends FleetLink>> links;
@@ -72,6 +77,8 @@
 
 	private final Map<NodeId, Member> members = new HashMap<>();
 
+	private final FleetSize fleetSize = new FleetSize();
+
 	private Set<WorkspaceName> limited = Set.of();
 
 	private FleetLink followed;
@@ -107,6 +114,7 @@
 		this.links = Objects.requireNonNull(links, "links");
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.client = new AllotmentClient(random, clock.getAsLong());
+		this.client.members(FleetSize.UNKNOWN);
 	}
 
 	/**
@@ -163,6 +171,9 @@
 		if (!active()) {
 			return;
 		}
+		if (!this.fleetSize.known(now)) {
+			return;
+		}
 		if (!this.chosen || now - this.lastChoice >= CHOICE_INTERVAL) {
 			this.chosen = true;
 			this.lastChoice = now;
@@ -181,8 +192,36 @@
 		this.members.values()
 			.removeIf((member) -> member.lastSeen != now
 					&& (member.stopping || now - member.lastSeen > LAPSED_NODE_TIME));
-		this.client.members(this.members.size() + 1);
-		this.coordinator.members(this.members.size() + 1);
+		int divisor = this.fleetSize.divisor(this.members.size() + 1, now);
+		this.client.members(divisor);
+		this.coordinator.members(divisor);
+	}
+
+	/**
+	 * Processes a list of the nodes.
+	 * @param recorded number of nodes that is recorded, if any
+	 */
+	public void fleetListed(OptionalInt recorded) {
+		this.fleetSize.listed(recorded, this.clock.getAsLong());
+		this.chosen = false;
+	}
+
+	/**
+	 * Processes a change of the recorded number of nodes.
+	 * @param recorded number of nodes, or empty if there is no record
+	 */
+	public void fleetSizeRecorded(OptionalInt recorded) {
+		this.fleetSize.recorded(recorded);
+	}
+
+	/**
+	 * Returns the number of nodes that this one should record, since it coordinates.
+	 * @param now current time in nanoseconds
+	 * @return the number, or empty if nothing should be written
+	 */
+	OptionalInt fleetSizeToRecord(long now) {
+		boolean coordinates = active() && this.followsSelf && this.coordinator.share() >= RECORDING_SHARE;
+		return coordinates ? this.fleetSize.sizeToRecord(this.members.size() + 1, now) : OptionalInt.empty();
 	}
 
 	private void checkFollowed(long now) {
@@ -327,10 +366,16 @@
 			logger.debugf("event=allotment-report-unreadable");
 			return;
 		}
+		long now = this.clock.getAsLong();
+		if (!this.fleetSize.known(now)) {
+			// The sender goes on as with a coordinator that has handed over.
+			sender.accept(AllotmentMessages.toMessage(new AllotmentGrant(report.get().sequence(), true, List.of())));
+			return;
+		}
 		// A node that leaves may know a coordinator that this node has to hand over to.
 		this.chosen &= !report.get().leaving();
 		this.senders.putIfAbsent(connection, sender);
-		this.coordinator.report(connection, report.get(), this.clock.getAsLong())
+		this.coordinator.report(connection, report.get(), now)
 			.ifPresent((grant) -> sender.accept(AllotmentMessages.toMessage(grant)));
 	}
 
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/FakeMeshStore.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/FakeMeshStore.java
@@ -183,7 +183,7 @@
 		if (this.unavailable) {
 			return CompletableFuture.failedFuture(unknown());
 		}
-		if (this.failNextWriteForEndedLease || !this.leases.contains(lease.id())) {
+		if (this.failNextWriteForEndedLease || lease.id() != 0 && !this.leases.contains(lease.id())) {
 			this.failNextWriteForEndedLease = false;
 			return CompletableFuture
 				.failedFuture(new MeshStoreException(MeshStoreException.Kind.LEASE_ENDED, "lease " + lease));
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestFleet.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -108,6 +109,7 @@
 			String key = "members/" + nodeSettings.nodeId();
 			this.store.put(key, MemberEntries.toEntry(member).toByteArray());
 		}
+		this.store.put("members/~nodes", Integer.toString(services.size()).getBytes(StandardCharsets.US_ASCII));
 		publishConfiguration(1);
 		for (int i = 0; i < services.size(); i++) {
 			this.entryAddresses.add(this.settings.get(i).entryAddress());
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/allotment/FleetAllotmentsTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/allotment/FleetAllotmentsTests.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -152,6 +153,48 @@
 		assertThat(refused).isZero();
 	}
 
+	// Guards against a burst of the whole allotment at each node of a fleet that starts
+	// together while the entries of its nodes are missing.
+	@Test
+	void nodesThatDoNotKnowEachOtherLendTheirSharesOnly() {
+		startNodes(12, new Allotment(100, 50));
+		this.nodes.forEach((node) -> {
+			node.alone = true;
+			node.allotments.fleetListed(OptionalInt.of(12));
+		});
+		int admitted = 0;
+		for (int i = 0; i < 1100; i++) {
+			admitted += admitted(this.nodes.get(i % 12)) ? 1 : 0;
+			run((i % 10 == 0) ? 20 : 0);
+		}
+		this.nodes.forEach((node) -> node.alone = false);
+		for (int i = 0; i < 1500; i++) {
+			admitted += admitted(this.nodes.get(i % 12)) ? 1 : 0;
+			run((i % 10 == 0) ? 20 : 0);
+		}
+		assertThat(admitted).isBetween(100, (100 * 5 + 50) * 11 / 10 + 20);
+	}
+
+	@Test
+	void nodeThatHasNotListedTheFleetDoesNotLend() {
+		startNodes(1, new Allotment(100, 100));
+		Node node = new Node(new NodeId("unlisted"), OptionalInt.empty());
+		node.allotments.configure(Map.of(WORKSPACE, new Allotment(100, 100)));
+		this.nodes.set(0, node);
+		int admitted = 0;
+		for (int i = 0; i < 100; i++) {
+			admitted += admitted(node) ? 1 : 0;
+			run(20);
+		}
+		assertThat(admitted).isEqualTo(3);
+		run(2000);
+		for (int i = 0; i < 50; i++) {
+			admitted += admitted(node) ? 1 : 0;
+			run(20);
+		}
+		assertThat(admitted).isGreaterThan(40);
+	}
+
 	@Test
 	void messagesOfForeignNodesDoNoHarm() throws InvalidProtocolBufferException {
 		startNodes(2, new Allotment(10, 10));
@@ -194,15 +237,22 @@
 
 		private boolean stopping;
 
+		private boolean alone;
+
 		Node(NodeId id) {
+			this(id, OptionalInt.of(1));
+		}
+
+		Node(NodeId id, OptionalInt recordedSize) {
 			this.id = id;
 			this.allotments = new FleetAllotments(id, this::links, new SplittableRandom(1),
 					() -> FleetAllotmentsTests.this.now);
+			this.allotments.fleetListed(recordedSize);
 		}
 
 		private List<Link> links() {
 			return FleetAllotmentsTests.this.nodes.stream()
-				.filter((node) -> node != this)
+				.filter((node) -> node != this && !this.alone)
 				.map((node) -> this.links.computeIfAbsent(node, (other) -> new Link(this, other)))
 				.toList();
 		}
