Read a body that is too large before closing the connection

Cause: the node answered before the body had arrived and closed the connection. Unread bytes turn the close into a reset, which can discard the answer. Now the body is read and discarded for up to 1 s before the answer.

Test before the change: MalformedRequestTests. refusalOfALargeBodyReachesACallerThatReadsAfterSending failed with "Broken pipe"; it passes now. 120 repetitions of bodyOverTheSizeLimitIsRefused passed here both before and after, so they decide nothing on this machine.

--- a/wasabicart-node/src/main/java/org/wasabicart/node/http/CallRunner.java
+++ b/wasabicart-node/src/main/java/org/wasabicart/node/http/CallRunner.java
@@ -7,11 +7,13 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import org.apache.pekko.Done;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.headers.Connection;
 import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
 import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.javadsl.Sink;
 
 import org.wasabicart.core.model.RefusalReason;
 import org.wasabicart.node.peer.CallHandle;
@@ -28,6 +30,9 @@
 	/** Time in which a request's whole body has to arrive. */
 	private static final Duration BODY_TIMEOUT = Duration.ofSeconds(5);
 
+	/** Longest time in which a body that is too large is read and discarded. */
+	private static final Duration DISCARD_TIMEOUT = Duration.ofSeconds(1);
+
 	private static final int REQUEST_TIMEOUT = 408;
 
 	private static final int CONTENT_TOO_LARGE = 413;
@@ -65,7 +70,7 @@
 	 */
 	CompletionStage<HttpResponse> run(HttpRequest http, ConnectionScope scope, CallRequest call, CallHandler handler) {
 		if (http.entity().getContentLengthOption().orElse(0) > this.bodyLimit) {
-			return CompletableFuture.completedFuture(bodyRefusal(CONTENT_TOO_LARGE));
+			return discard(http).handle((done, failure) -> bodyRefusal(CONTENT_TOO_LARGE));
 		}
 		this.running.incrementAndGet();
 		return http.entity()
@@ -75,6 +80,16 @@
 			.whenComplete((response, failure) -> this.running.decrementAndGet());
 	}
 
+	// Closing a connection with unread bytes resets it, and the client may lose the
+	// response.
+	private CompletionStage<Done> discard(HttpRequest http) {
+		return http.entity()
+			.withoutSizeLimit()
+			.getDataBytes()
+			.takeWithin(DISCARD_TIMEOUT)
+			.runWith(Sink.ignore(), this.materializer);
+	}
+
 	private CompletionStage<HttpResponse> run(CallRequest call, ConnectionScope scope, CallHandler handler) {
 		CompletableFuture<HttpResponse> response = new CompletableFuture<>();
 		RunningCall runningCall = new RunningCall(call, scope, response);
--- a/wasabicart-node/src/test/java/org/wasabicart/node/MalformedRequestTests.java
+++ b/wasabicart-node/src/test/java/org/wasabicart/node/MalformedRequestTests.java
@@ -1,7 +1,9 @@
 package org.wasabicart.node;
 
+import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.assertj.core.api.Assertions;
@@ -62,6 +64,27 @@
 		Assertions.assertThat(this.backendCalls).hasValue(0);
 	}
 
+	/**
+	 * Guards against a reset of the connection that discards the response before a caller
+	 * has read it.
+	 */
+	@Test
+	void refusalOfALargeBodyReachesACallerThatReadsAfterSending() throws Exception {
+		byte[] piece = new byte[64 * 1024];
+		try (Socket socket = new Socket(this.node.callerAddress().host(), this.node.callerAddress().port())) {
+			socket.getOutputStream()
+				.write(("POST /stock/7 HTTP/1.1\r\nHost: a\r\nContent-Length: " + 80 * piece.length + "\r\n\r\n")
+					.getBytes(StandardCharsets.US_ASCII));
+			for (int i = 0; i < 80; i++) {
+				socket.getOutputStream().write(piece);
+				Thread.sleep(3);
+			}
+			byte[] response = socket.getInputStream().readNBytes(12);
+			Assertions.assertThat(new String(response, StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 413");
+		}
+		Assertions.assertThat(this.backendCalls).hasValue(0);
+	}
+
 	@Test
 	void oversizedHeaderIsRefused() throws Exception {
 		String response = sendRaw("GET /stock/7 HTTP/1.1\r\nHost: a\r\nX-Large: " + "x".repeat(20_000) + "\r\n\r\n");
