Keep tests from meeting closing listeners and taken ports

TestBackend.stop waits for the close. No check has changed. The classes of wasabicart-node that start a RunningNode passed once each; neither failure was reproduced here before the change.

--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestBackend.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/TestBackend.java
@@ -76,8 +76,11 @@
 		return (InetSocketAddress) this.listener.localAddress();
 	}
 
+	/**
+	 * Stops listening. Must not be called on the event loop, which closes the listener.
+	 */
 	void stop() {
-		this.listener.close();
+		this.listener.close().awaitUninterruptibly();
 	}
 
 	void setBehaviour(Behaviour value) {
--- a/wasabicart-node/src/test/java/org/wasabicart/node/RunningNode.java
+++ b/wasabicart-node/src/test/java/org/wasabicart/node/RunningNode.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -72,8 +71,8 @@
 
 	RunningNode(int slots, HttpHandler handler) throws Exception {
 		this.settings = new SettingsReader(Map.of()).read("--node-id", "n1", "--failure-domain", "a", "--region", "r",
-				"--listen-address", "127.0.0.1:" + freePort(), "--http-address", "127.0.0.1:" + freePort(),
-				"--local-http-address", "127.0.0.1:" + freePort(), "--grace-seconds", "5", "--shared-key-file",
+				"--listen-address", TestAddresses.findFree(), "--http-address", TestAddresses.findFree(),
+				"--local-http-address", TestAddresses.findFree(), "--grace-seconds", "5", "--shared-key-file",
 				keyFile());
 		this.backend = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
 		this.backend.setExecutor(Executors.newCachedThreadPool());
@@ -112,12 +111,6 @@
 		return Files.writeString(file, "key").toString();
 	}
 
-	static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return socket.getLocalPort();
-		}
-	}
-
 	static void respond(HttpExchange exchange, int status, String body) throws IOException {
 		byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
 		exchange.getRequestBody().readAllBytes();
