Accept a large request only if its copy fits

Cause: a large request was accepted below 0.9 of the limit, although its copy for the link is held as well. What cannot be discarded then exceeded the limit, and all responses that waited for their turn were discarded, which could not help.

Change: a request of 8 KB or more needs room for its copy, else 503 with Retry-After; unread responses are discarded only if the limit can be kept.

The two new tests of HeldMemoryTests cover both rules; the first failed by construction before (the response was discarded), hasRoom did not exist.

--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/EntryRouter.java
@@ -335,10 +335,12 @@
 			return retryAfter.isEmpty();
 		}
 
+		// The request is held already; its copy for another node or for the server is
+		// not.
 		private boolean lacksMemory(FullHttpRequest request) {
 			long bytes = request.content().readableBytes() + CountedHeaders.messageBytes(request.headers());
 			return EntryRouter.this.memory.exhausted()
-					|| bytes >= LARGE_REQUEST_BYTES && EntryRouter.this.memory.full();
+					|| bytes >= LARGE_REQUEST_BYTES && !EntryRouter.this.memory.hasRoom(bytes);
 		}
 
 		private void attempt() {
--- a/wasabicart-mesh/src/main/java/org/wasabicart/mesh/HeldMemory.java
+++ b/wasabicart-mesh/src/main/java/org/wasabicart/mesh/HeldMemory.java
@@ -85,11 +85,12 @@
 	}
 
 	/**
-	 * Returns whether further messages would soon be discarded.
-	 * @return whether almost the whole limit is used up
+	 * Returns whether a further message can be held.
+	 * @param bytes size of the message
+	 * @return whether less than almost the whole limit is used up with it
 	 */
-	boolean full() {
-		return this.held > this.limit * FULL_SHARE;
+	boolean hasRoom(long bytes) {
+		return this.held + bytes <= this.limit * FULL_SHARE;
 	}
 
 	/**
@@ -152,7 +153,7 @@
 		try {
 			while (this.held > this.limit) {
 				Optional<Holding> largest = this.reclaimable.stream().max(LARGEST);
-				if (largest.isEmpty()) {
+				if (largest.isEmpty() || largest.get().kind == Kind.UNREAD && !canReclaim(this.held - this.limit)) {
 					return;
 				}
 				discard(largest.get());
@@ -163,6 +164,12 @@
 		}
 	}
 
+	// Discarding an unread response closes the connection of a caller that may have done
+	// nothing unusual, which must at least make room.
+	private boolean canReclaim(long bytes) {
+		return this.reclaimable.stream().mapToLong((holding) -> holding.bytes).sum() >= bytes;
+	}
+
 	private void discard(Holding holding) {
 		this.decisions.log("message-discarded", "kind", holding.kind, "bytes", holding.bytes, "held", this.held,
 				"limit", this.limit);
--- a/wasabicart-mesh/src/test/java/org/wasabicart/mesh/HeldMemoryTests.java
+++ b/wasabicart-mesh/src/test/java/org/wasabicart/mesh/HeldMemoryTests.java
@@ -39,9 +39,9 @@
 	void nothingIsGivenUpWithinTheLimit() {
 		HeldMemory.Holding holding = open("a", HeldMemory.Kind.UNBOUNDED, 10);
 		assertThat(this.tasks).isEmpty();
-		assertThat(this.memory.full()).isTrue();
+		assertThat(this.memory.hasRoom(0)).isFalse();
 		holding.resize(9L * UNIT);
-		assertThat(this.memory.full()).isFalse();
+		assertThat(this.memory.hasRoom(0)).isTrue();
 	}
 
 	@Test
@@ -75,6 +75,33 @@
 		assertThat(this.discarded).isEmpty();
 	}
 
+	/**
+	 * Guards against closing the connections of callers whose responses cannot make room
+	 * for the large messages of others.
+	 */
+	@Test
+	void unreadResponsesThatCannotMakeRoomAreNotDiscarded() {
+		open("unread", HeldMemory.Kind.UNREAD, 1);
+		open("waiting", HeldMemory.Kind.WAITING, 1);
+		HeldMemory.Holding fixed = open("fixed", HeldMemory.Kind.FIXED, 12);
+		runTasks();
+		assertThat(this.discarded).containsExactly("waiting");
+		fixed.resize(10L * UNIT);
+		runTasks();
+		assertThat(this.discarded).containsExactly("waiting", "unread");
+	}
+
+	/**
+	 * Guards against a message whose copy for another node exceeds the limit although the
+	 * message itself does not.
+	 */
+	@Test
+	void copyOfALargeMessageMustFitAsWell() {
+		open("running", HeldMemory.Kind.FIXED, 5);
+		assertThat(this.memory.hasRoom(4L * UNIT)).isTrue();
+		assertThat(this.memory.hasRoom(4L * UNIT + 1)).isFalse();
+	}
+
 	@Test
 	void releasedHoldingIsNotDiscarded() {
 		HeldMemory.Holding released = open("released", HeldMemory.Kind.UNBOUNDED, 9);
