--- a/wasabicart-core/src/main/java/org/wasabicart/core/allotment/AllotmentCoordinator.java
+++ b/wasabicart-core/src/main/java/org/wasabicart/core/allotment/AllotmentCoordinator.java
@@ -610,8 +610,8 @@
 			if (this.startCredit <= 0 || covered <= 0) {
 				return 0;
 			}
-			int credits = (int) Math.min(AllotmentTokens.MAXIMUM_CREDITS, LEAST_START_CREDITS + covered / members);
-			return Math.max(LEAST_START_CREDITS, Integer.highestOneBit(credits));
+			return Integer.highestOneBit(
+					(int) Math.min(AllotmentTokens.MAXIMUM_CREDITS, LEAST_START_CREDITS + covered / members));
 		}
 
 		long wait(double share) {
