Restore the interval of planned stops in the property on callers

callersDoNotNoticePlannedStops was narrowed from stops 1 to 3 s apart to 2 to 4 s while it was written, without a trace that allows it.

--- a/wasabicart-core/src/test/java/org/wasabicart/core/allotment/AllotmentHandoverProperties.java
+++ b/wasabicart-core/src/test/java/org/wasabicart/core/allotment/AllotmentHandoverProperties.java
@@ -139,7 +139,7 @@
 				fleet.steadyDemand(name(rate), 6, 18, rate * USUAL_SHARE);
 			}
 			SplittableRandom random = new SplittableRandom(seed);
-			for (double when = random.nextDouble(8, 9); when < 15; when += random.nextDouble(2, 4)) {
+			for (double when = random.nextDouble(8, 9); when < 15; when += random.nextDouble(1, 3)) {
 				fleet.plannedRestartOfCoordinator(when, STOPPING, DOWN);
 			}
 			fleet.run(18);
